--- a/internal/intake/job.go
+++ b/internal/intake/job.go
@@ -16,6 +16,9 @@
 const (
 	Sweep = "sweep"
 	Gang  = "gang"
+	// Service is a sweep whose tasks run until the job is cancelled. The
+	// protocol's page does not name it, its users send it (docs/questions.md).
+	Service = "service"
 )
 
 // States of a job as users see them.
@@ -179,8 +182,8 @@
 		switch {
 		case !ValidID(j.NameID):
 			fail("nameId", "must be j- and digits")
-		case j.Shape != Sweep && j.Shape != Gang:
-			fail("shape", "must be sweep or gang")
+		case j.Shape != Sweep && j.Shape != Gang && j.Shape != Service:
+			fail("shape", "must be sweep, gang or service")
 		case j.Urgency != "idle" && Priority(j.Urgency) == 0:
 			fail("urgency", "must be production, urgent, standard or idle")
 		}
--- /dev/null
+++ b/internal/intake/job_test.go
@@ -0,0 +1,121 @@
+package intake
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"thornnotch/internal/config"
+)
+
+const goodJob = `{"nameId":"j-000412","workload":"train","owner":"vision","shape":"gang","urgency":"urgent","pieces":16,
+ "vcpus":8.0,"accelerators":1.0,"ramGb":64.0,"bundle":"img-07","imageGb":6.2,"rigTypes":["g8"],"hall":null,"samePlace":true,
+ "apart":false,"loaners":true,"expectS":240.0,"snapshotS":30.0,"stashS":4.0,"dueS":900.0,"unknown":[1]}`
+
+func change(t interface{ Fatal(...any) }, edit func(map[string]any)) []byte {
+	var m map[string]any
+	if err := json.Unmarshal([]byte(goodJob), &m); err != nil {
+		t.Fatal(err)
+	}
+	edit(m)
+	raw, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// TestBadFields: whatever field is missing, mistyped or absurd, the error
+// names it.
+func TestBadFields(t *testing.T) {
+	if _, err := DecodeJob([]byte(goodJob)); err != nil {
+		t.Fatalf("good job: %v", err)
+	}
+	required := []string{"nameId", "workload", "owner", "shape", "urgency", "pieces", "vcpus", "accelerators", "ramGb", "bundle",
+		"imageGb", "samePlace", "apart", "loaners", "expectS", "snapshotS", "stashS"}
+	rapid.Check(t, func(t *rapid.T) {
+		field := rapid.SampledFrom(required).Draw(t, "field")
+		bad := rapid.SampledFrom([]any{nil, []any{}, map[string]any{}, "", -1.0, 1e300}).Draw(t, "value")
+		raw := change(t, func(m map[string]any) { m[field] = bad })
+		_, err := DecodeJob(raw)
+		var fe *FieldError
+		if !errors.As(err, &fe) || fe.Field != field {
+			t.Fatalf("%s = %v: %v", field, bad, err)
+		}
+	})
+	for _, raw := range []string{"", "null", "[]", `"x"`, "{", `{"nameId":1}`, `{}`} {
+		if _, err := DecodeJob([]byte(raw)); err == nil {
+			t.Errorf("accepted %q", raw)
+		}
+	}
+	for _, id := range []string{"j-", "k-1", "j-1a", "j-1/2", " j-1", "j--1"} {
+		if _, err := DecodeJob(change(t, func(m map[string]any) { m["nameId"] = id })); err == nil {
+			t.Errorf("accepted id %q", id)
+		}
+	}
+}
+
+// TestNullEqualsOmitted holds for the fields that may be null.
+func TestNullEqualsOmitted(t *testing.T) {
+	for _, field := range []string{"rigTypes", "hall", "dueS"} {
+		a, err1 := DecodeJob(change(t, func(m map[string]any) { m[field] = nil }))
+		b, err2 := DecodeJob(change(t, func(m map[string]any) { delete(m, field) }))
+		if err1 != nil || err2 != nil {
+			t.Fatalf("%s: %v, %v", field, err1, err2)
+		}
+		ra, _ := json.Marshal(a)
+		rb, _ := json.Marshal(b)
+		if string(ra) != string(rb) {
+			t.Errorf("%s: %s differs from %s", field, ra, rb)
+		}
+	}
+}
+
+// TestJobSurvivesItsRecord: what is recorded reads back the same.
+func TestJobSurvivesItsRecord(t *testing.T) {
+	j, err := DecodeJob([]byte(goodJob))
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := json.Marshal(j)
+	var back Job
+	if err := json.Unmarshal(raw, &back); err != nil {
+		t.Fatal(err)
+	}
+	again, _ := json.Marshal(&back)
+	if string(raw) != string(again) || back.Pieces != 16 || !back.SamePlace {
+		t.Errorf("%s became %s", raw, again)
+	}
+}
+
+func TestNeverRuns(t *testing.T) {
+	teams := []config.Team{{Name: "vision", GPUsMax: 16}, {Name: "free"}}
+	types := []MachineType{{SKU: "g8", VCPUs: 96, Accelerators: 8, RAMGB: 768, Halls: []string{"a", "b"}}}
+	for _, c := range []struct {
+		why  string
+		edit func(j *Job)
+	}{
+		{"", func(*Job) {}},
+		{"", func(j *Job) { j.Owner, j.Pieces = "free", 1000 }},
+		{"owner", func(j *Job) { j.Owner = "nobody" }},
+		{"limit", func(j *Job) { j.Pieces = 17 }},
+		{"", func(j *Job) { j.Pieces, j.Shape = 17, Sweep }},
+		{"fits no", func(j *Job) { j.Accelerators = 9 }},
+		{"fits no", func(j *Job) { j.RigTypes = []string{"other"} }},
+		{"fits no", func(j *Job) { j.Hall = "c" }},
+		{"contradicts", func(j *Job) { j.Apart = true }},
+	} {
+		j, err := DecodeJob([]byte(goodJob))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.edit(j)
+		err = CanRun(j, teams, types)
+		if (err == nil) != (c.why == "") || err != nil && !strings.Contains(err.Error(), c.why) {
+			t.Errorf("want %q, got %v", c.why, err)
+		}
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -113,6 +113,7 @@
 	}
 	j, err := DecodeJob(raw)
 	if err != nil {
+		s.log.Debug("malformed submission", "err", err)
 		var fe *FieldError
 		if errors.As(err, &fe) {
 			WriteJSON(w, http.StatusBadRequest, problem{fe.Problem, fe.Field})
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -15,12 +15,15 @@
 
 // Decide runs one pass over the world.
 func Decide(w *World) *Plan {
-	p := &pass{World: w, plan: &Plan{}}
+	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room)}
 	sort.Slice(w.Rigs, func(i, j int) bool { return w.Rigs[i].Name < w.Rigs[j].Name })
 	for i, r := range w.Rigs {
 		r.rank = i
 		for _, s := range r.Slots {
 			r.used = r.used.Add(s.Room)
+			if s.Ending && s.Job != nil {
+				p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
+			}
 		}
 	}
 	sort.Slice(w.Jobs, func(i, j int) bool { return Before(w.Jobs[i], w.Jobs[j]) })
@@ -40,6 +43,8 @@
 type pass struct {
 	*World
 	plan *Plan
+	// ending is what this pass has told each team's tasks to give up.
+	ending map[string]Room
 }
 
 // blocks tells whether held room is closed to a job: it is open to its own
@@ -317,7 +322,7 @@
 // beyond tells whether a team uses more than its guarantee.
 func (p *pass) beyond(owner string) bool {
 	t := p.Teams[owner]
-	return t != nil && !t.Guards(t.Used)
+	return t != nil && !t.Guards(t.Used.Sub(p.ending[owner]))
 }
 
 // makeRoom is called for a job that has n tasks without a place. It keeps
@@ -421,8 +426,9 @@
 					o.rig.Slots[i].Ending = true
 				}
 			}
-			t := p.Teams[s.Job.Spec.Owner]
-			t.Used = t.Used.Sub(s.Room)
+			// It counts toward the team's limit until it is proven gone; only
+			// what the team runs beyond its guarantee shrinks already.
+			p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
 		}
 		if gang || len(o.victim) > 0 {
 			o.rig.claimed = j.Spec.NameID
--- /dev/null
+++ b/internal/placement/pass_test.go
@@ -0,0 +1,191 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"thornnotch/internal/intake"
+)
+
+func drawWorld(t *rapid.T) *World {
+	w := &World{Now: time.Unix(1000, 0), Teams: map[string]*Team{}}
+	teams := []string{"a", "b", "c"}
+	for _, n := range teams {
+		g := float64(rapid.IntRange(0, 3).Draw(t, "guarantee") * 4)
+		w.Teams[n] = &Team{Name: n, Guarantee: Room{GPUs: g}, Max: Room{GPUs: g + float64(rapid.IntRange(1, 4).Draw(t, "max")*4)}}
+	}
+	id := 0
+	job := func() *Job {
+		id++
+		s := &intake.Job{NameID: fmt.Sprintf("j-%d", id), Workload: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "class"),
+			Owner: rapid.SampledFrom(teams).Draw(t, "team"), Shape: rapid.SampledFrom([]string{intake.Sweep, intake.Gang}).Draw(t, "shape"),
+			Pieces: rapid.IntRange(1, 5).Draw(t, "pieces"), VCPUs: 1, Accelerators: float64(rapid.IntRange(0, 4).Draw(t, "gpus")), RAMGB: 1,
+			Bundle: rapid.SampledFrom([]string{"i", "k"}).Draw(t, "image"), ImageGB: 5, ExpectS: 60, StashS: 1, SnapshotS: 10,
+			SamePlace: rapid.Bool().Draw(t, "samePlace"), Apart: rapid.Bool().Draw(t, "apart"), Loaners: rapid.Bool().Draw(t, "loaners"),
+			Hall: rapid.SampledFrom([]string{"", "", "z1"}).Draw(t, "hall")}
+		return &Job{Spec: s, Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Order: uint64(id), Zones: map[string]int{}}
+	}
+	var all []*Job
+	for i := range rapid.IntRange(1, 7).Draw(t, "rigs") {
+		r := &Rig{Name: fmt.Sprintf("m-%d", i), Type: "g", Zone: rapid.SampledFrom([]string{"z1", "z2", "z3"}).Draw(t, "zone"),
+			Spot: rapid.Bool().Draw(t, "spot"), Open: rapid.IntRange(0, 5).Draw(t, "open") > 0,
+			Total: Room{VCPUs: 8, GPUs: 4, RAM: 16}, Pull: 1, Cached: map[string]time.Duration{}}
+		for range rapid.IntRange(0, 2).Draw(t, "slots") {
+			j := job()
+			j.Spec.Accelerators = 1
+			j.Spec.Shape = intake.Sweep
+			if !Allowed(j, r) || !w.Teams[j.Spec.Owner].Allows(Room{GPUs: 1}) {
+				continue
+			}
+			j.Zones[r.Zone]++
+			w.Teams[j.Spec.Owner].Used = w.Teams[j.Spec.Owner].Used.Add(Need(j.Spec))
+			r.Slots = append(r.Slots, Slot{Job: j, Try: 1, Room: Need(j.Spec), Ending: rapid.Bool().Draw(t, "ending"), Loss: time.Second})
+			all = append(all, j)
+		}
+		if rapid.IntRange(0, 3).Draw(t, "hold") == 0 && len(r.Slots) == 0 {
+			p := Pipeline{rapid.SampledFrom(teams).Draw(t, "holder"), "x"}
+			h := Held{p, rapid.IntRange(0, 3).Draw(t, "held at"), Room{VCPUs: 1, GPUs: 1, RAM: 1}}
+			r.Held = append(r.Held, h)
+			w.Teams[p.Owner].Used = w.Teams[p.Owner].Used.Add(h.Room)
+		}
+		w.Rigs = append(w.Rigs, r)
+	}
+	for range rapid.IntRange(1, 8).Draw(t, "jobs") {
+		j := job()
+		for i := range j.Spec.Pieces {
+			j.Waiting = append(j.Waiting, i)
+		}
+		w.Jobs = append(w.Jobs, j)
+		all = append(all, j)
+	}
+	MarkGuaranteed(all, w.Teams)
+	return w
+}
+
+// TestRulesOfPlacement checks every plan against the protocol's rules: room,
+// limits, types, zones, whole gangs, nothing started twice, and who may be
+// stopped for whom.
+func TestRulesOfPlacement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		// What runs for certain, holds aside: the limit must hold for it even
+		// while evicted tasks are still on their machines.
+		used, rooms := map[string]Room{}, map[string]Room{}
+		zones := map[*Job]map[string]int{}
+		note := func(j *Job, zone string) {
+			if zones[j] == nil {
+				zones[j] = map[string]int{}
+			}
+			zones[j][zone]++
+		}
+		for _, r := range w.Rigs {
+			for _, s := range r.Slots {
+				used[s.Job.Spec.Owner] = used[s.Job.Spec.Owner].Add(s.Room)
+				rooms[r.Name] = rooms[r.Name].Add(s.Room)
+				note(s.Job, r.Zone)
+			}
+		}
+		over := map[string]bool{}
+		for n, tm := range w.Teams {
+			over[n] = tm.Max.GPUs > 0 && used[n].GPUs > tm.Max.GPUs
+		}
+		p := Decide(w)
+		started := map[string]bool{}
+		count := map[*Job]int{}
+		for _, s := range p.Starts {
+			key := fmt.Sprint(s.Job.Spec.NameID, "/", s.Index)
+			if started[key] {
+				t.Fatalf("%s starts twice", key)
+			}
+			started[key] = true
+			count[s.Job]++
+			if !s.Rig.Open || !Allowed(s.Job, s.Rig) {
+				t.Fatalf("%s on a machine that is not for it", key)
+			}
+			owner := s.Job.Spec.Owner
+			used[owner] = used[owner].Add(Need(s.Job.Spec))
+			rooms[s.Rig.Name] = rooms[s.Rig.Name].Add(Need(s.Job.Spec))
+			note(s.Job, s.Rig.Zone)
+			if !s.Rig.Total.Fits(rooms[s.Rig.Name]) {
+				t.Fatalf("%s does not fit", key)
+			}
+			if m := w.Teams[owner].Max.GPUs; m > 0 && used[owner].GPUs > m && !over[owner] {
+				t.Fatalf("%s breaks the limit of %s", key, owner)
+			}
+			if s.Job.Spec.SamePlace && len(zones[s.Job]) > 1 {
+				t.Fatalf("%s breaks samePlace", key)
+			}
+			if s.Job.Spec.Apart && zones[s.Job][s.Rig.Zone] > (s.Job.Spec.Pieces+1)/2 {
+				t.Fatalf("%s breaks apart", key)
+			}
+		}
+		for j, n := range count {
+			if j.Spec.Shape == intake.Gang && n != j.Spec.Pieces {
+				t.Fatalf("%s starts %d of %d", j.Spec.NameID, n, j.Spec.Pieces)
+			}
+		}
+		for _, e := range p.Evicts {
+			v := e.Slot.Job
+			lower := v.Priority < e.For.Priority
+			reclaim := e.For.Guaranteed && v.Spec.Owner != e.For.Spec.Owner && !v.Guaranteed
+			if !lower && !reclaim {
+				t.Fatalf("%s is stopped for %s without right", v.Spec.NameID, e.For.Spec.NameID)
+			}
+		}
+	})
+}
+
+func oneRig(held ...Held) *Rig {
+	return &Rig{Name: "m-0", Type: "g", Zone: "z", Open: true, Total: Room{8, 4, 16}, Held: held}
+}
+
+func sweepJob(id, owner string, prio int) *Job {
+	return &Job{Spec: &intake.Job{NameID: id, Workload: "x", Owner: owner, Shape: intake.Sweep, Pieces: 1, VCPUs: 1, Accelerators: 4, RAMGB: 1},
+		Priority: prio, Waiting: []int{0}}
+}
+
+// TestHoldsKeepPriority: the pipeline's own tasks use a hold, lower or equal
+// work skips it, higher work takes it, and it never keeps another team from
+// its guarantee.
+func TestHoldsKeepPriority(t *testing.T) {
+	hold := Held{Pipeline{"a", "x"}, 1, Room{1, 4, 1}}
+	for _, c := range []struct {
+		name      string
+		job       *Job
+		guarantee float64
+		want      int
+	}{
+		{"own", sweepJob("j-1", "a", 1), 0, 1},
+		{"equal", sweepJob("j-1", "b", 1), 0, 0},
+		{"lower", sweepJob("j-1", "b", 0), 0, 0},
+		{"higher", sweepJob("j-1", "b", 2), 0, 1},
+		{"guaranteed", sweepJob("j-1", "b", 0), 4, 1},
+	} {
+		w := &World{Rigs: []*Rig{oneRig(hold)}, Jobs: []*Job{c.job}, Teams: map[string]*Team{
+			"a": {Max: Room{GPUs: 8}, Used: Room{GPUs: 4}}, "b": {Guarantee: Room{GPUs: c.guarantee}, Max: Room{GPUs: 8}}}}
+		MarkGuaranteed(w.Jobs, w.Teams)
+		if got := len(Decide(w).Starts); got != c.want {
+			t.Errorf("%s: %d starts, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestEvictedStillCounts guards against an incident: a pass that stopped a
+// team's task let the same team start another at once, over its limit.
+func TestEvictedStillCounts(t *testing.T) {
+	victim := sweepJob("j-1", "a", 0)
+	r1, r2 := oneRig(), oneRig()
+	r1.Name, r2.Name, r2.Spot = "m-1", "m-2", true
+	r1.Slots = []Slot{{Job: victim, Room: Room{1, 4, 1}, Loss: time.Second}}
+	urgent, next := sweepJob("j-2", "b", 2), sweepJob("j-3", "a", 1)
+	next.Spec.Loaners = true
+	w := &World{Rigs: []*Rig{r1, r2}, Jobs: []*Job{urgent, next}, Teams: map[string]*Team{
+		"a": {Max: Room{GPUs: 4}, Used: Room{GPUs: 4}}, "b": {Max: Room{GPUs: 4}}}}
+	p := Decide(w)
+	if len(p.Evicts) != 1 || len(p.Starts) != 0 {
+		t.Fatalf("%d evicted, %d started; want 1 and 0", len(p.Evicts), len(p.Starts))
+	}
+}
