--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -307,16 +307,26 @@
 	return best
 }
 
-// mayEvict tells whether the job may stop a task: one of lower priority, or,
-// to get its own team's guarantee, any that another team runs beyond its own.
+// mayEvict tells whether the job may stop a task. The protocol allows it for
+// higher priority and, to give a team its guarantee, against whatever another
+// team runs beyond its own. Taken together these two can go in a circle: an
+// urgent job beyond its guarantee and a standard one within, stopping each
+// other for ever. So guaranteed work ranks above all other here, and priority
+// decides among equals; nothing stops what ranks the same or higher.
 func (p *pass) mayEvict(j *Job, s Slot) bool {
 	if s.Ending || s.Job == nil {
 		return false
 	}
-	if s.Job.Priority < j.Priority {
+	v := s.Job
+	switch {
+	case j.Guaranteed == v.Guaranteed:
+		return v.Priority < j.Priority
+	case !j.Guaranteed:
+		return false
+	case v.Priority < j.Priority:
 		return true
 	}
-	return j.Guaranteed && s.Job.Spec.Owner != j.Spec.Owner && !s.Job.Guaranteed && p.beyond(s.Job.Spec.Owner)
+	return v.Spec.Owner != j.Spec.Owner && p.beyond(v.Spec.Owner)
 }
 
 // beyond tells whether a team uses more than its guarantee.
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -189,3 +189,43 @@
 		t.Fatalf("%d evicted, %d started; want 1 and 0", len(p.Evicts), len(p.Starts))
 	}
 }
+
+// TestNoCircleOfEvictions guards against an incident: an urgent job beyond its
+// team's guarantee and a standard one within it stopped each other's tasks in
+// turn, many times a second.
+func TestNoCircleOfEvictions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		teams := map[string]*Team{}
+		for _, n := range []string{"a", "b"} {
+			g := float64(rapid.IntRange(0, 2).Draw(t, "guarantee") * 4)
+			teams[n] = &Team{Name: n, Guarantee: Room{GPUs: g}, Max: Room{GPUs: 99}, Used: Room{GPUs: float64(rapid.IntRange(0, 12).Draw(t, "used"))}}
+		}
+		p := &pass{World: &World{Teams: teams}, ending: map[string]Room{}}
+		var jobs []*Job
+		for i := range 4 {
+			j := sweepJob(fmt.Sprint("j-", i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner"), rapid.IntRange(0, 3).Draw(t, "priority"))
+			j.Guaranteed = rapid.Bool().Draw(t, "guaranteed")
+			jobs = append(jobs, j)
+		}
+		var above func(x, y *Job, depth int) bool
+		above = func(x, y *Job, depth int) bool {
+			if p.mayEvict(x, Slot{Job: y}) {
+				return true
+			}
+			if depth == 0 {
+				return false
+			}
+			for _, z := range jobs {
+				if p.mayEvict(x, Slot{Job: z}) && above(z, y, depth-1) {
+					return true
+				}
+			}
+			return false
+		}
+		for _, j := range jobs {
+			if above(j, j, len(jobs)) {
+				t.Fatalf("%s can come to stop itself", j.Spec.NameID)
+			}
+		}
+	})
+}
