--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -311,22 +311,18 @@
 // higher priority and, to give a team its guarantee, against whatever another
 // team runs beyond its own. Taken together these two can go in a circle: an
 // urgent job beyond its guarantee and a standard one within, stopping each
-// other for ever. So guaranteed work ranks above all other here, and priority
-// decides among equals; nothing stops what ranks the same or higher.
+// other for ever. So stopping follows the queue's own order, priority first
+// and guarantee second: what is stopped also stands behind in the queue and
+// can't take the room back.
 func (p *pass) mayEvict(j *Job, s Slot) bool {
 	if s.Ending || s.Job == nil {
 		return false
 	}
 	v := s.Job
-	switch {
-	case j.Guaranteed == v.Guaranteed:
+	if v.Priority != j.Priority {
 		return v.Priority < j.Priority
-	case !j.Guaranteed:
-		return false
-	case v.Priority < j.Priority:
-		return true
 	}
-	return v.Spec.Owner != j.Spec.Owner && p.beyond(v.Spec.Owner)
+	return j.Guaranteed && !v.Guaranteed && v.Spec.Owner != j.Spec.Owner && p.beyond(v.Spec.Owner)
 }
 
 // beyond tells whether a team uses more than its guarantee.
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -134,6 +134,9 @@
 			if !lower && !reclaim {
 				t.Fatalf("%s is stopped for %s without right", v.Spec.NameID, e.For.Spec.NameID)
 			}
+			if !Before(e.For, v) {
+				t.Fatalf("%s is stopped for %s, but stands before it in the queue", v.Spec.NameID, e.For.Spec.NameID)
+			}
 		}
 	})
 }
