--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -73,19 +73,20 @@
 	ctx   context.Context
 	tasks *errgroup.Group
 
-	ended     error
-	loaded    bool
-	sure      time.Time // when every cancellation was last certainly known
-	jobs      map[string]*job
-	rigs      map[string]*rig
-	teams     []config.Team
-	book      *reserve.Book
-	tries     uint64
-	dirty     bool // a placement pass is due
-	lastPass  time.Time
-	committer committer
-	market    marketState
-	certainty time.Duration
+	ended       error
+	loaded      bool
+	sure        time.Time // when every cancellation was last certainly known
+	jobs        map[string]*job
+	rigs        map[string]*rig
+	teams       []config.Team
+	book        *reserve.Book
+	tries       uint64
+	dirty       bool // a placement pass is due
+	lastPass    time.Time
+	lastSummary time.Time
+	committer   committer
+	market      marketState
+	certainty   time.Duration
 	// finished are jobs that ended here before the watch has told so.
 	finished map[string]bool
 	// ghosts are jobs that are over while attempts of them may still run.
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"fmt"
+	"log/slog"
 	"time"
 
 	"thornnotch/internal/fleet"
@@ -27,6 +29,40 @@
 	}
 	l.place(plan, jobs, now)
 	l.market.unmet(plan.Unmet, now)
+	l.summary(w, now)
+}
+
+// summary logs once in a while what the machines do and what waits.
+func (l *Leader) summary(w *placement.World, now time.Time) {
+	if now.Sub(l.lastSummary) < tuning.SummaryEvery || !l.d.Log.Enabled(l.ctx, slog.LevelDebug) {
+		return
+	}
+	l.lastSummary = now
+	var total, used, ending, held, empty float64
+	for _, r := range w.Rigs {
+		if !r.Open {
+			continue
+		}
+		total += r.Total.GPUs
+		if len(r.Slots) == 0 && len(r.Held) == 0 {
+			empty++
+		}
+		for _, s := range r.Slots {
+			used += s.Room.GPUs
+			if s.Ending {
+				ending += s.Room.GPUs
+			}
+		}
+		for _, h := range r.Held {
+			held += h.Room.GPUs
+		}
+	}
+	waits := make(map[string]int)
+	for _, j := range w.Jobs {
+		waits[j.Spec.Workload] += len(j.Waiting)
+	}
+	l.d.Log.Debug("summary", "gpus", total, "used", used, "ending", ending, "held", held, "empty", empty,
+		"waiting", fmt.Sprint(waits), "booting", len(l.market.booting), "rigs", len(l.rigs))
 }
 
 // world shows the present state to placement.
@@ -143,11 +179,16 @@
 }
 
 // outlook estimates how long an attempt goes on, and what stopping it throws
-// away.
+// away, in seconds of the room that it takes.
 func (l *Leader) outlook(j *job, a *fleet.Attempt, now time.Time) (left, loss time.Duration) {
 	expect := time.Duration(j.spec.ExpectS * float64(time.Second))
+	again := tuning.RestartCost
+	if j.spec.Shape == intake.Gang {
+		// The whole gang goes, and finds whole machines again less easily.
+		again *= tuning.GangRestart * time.Duration(j.spec.Pieces)
+	}
 	if a.RanAt.IsZero() {
-		return expect, 0
+		return expect, again
 	}
 	ran := now.Sub(a.RanAt)
 	left = max(expect-ran, 5*time.Second)
@@ -156,10 +197,10 @@
 	} else {
 		loss = ran
 	}
-	if j.spec.Shape == intake.Gang {
-		loss *= time.Duration(j.spec.Pieces)
+	if ran < tuning.StartCounts {
+		loss += tuning.EarlyStop
 	}
-	return left, loss
+	return left, loss + again
 }
 
 // evict stops a task to make room; a gang goes as a whole.
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -366,7 +366,12 @@
 					able = append(able, s)
 				}
 			}
-			sort.SliceStable(able, func(a, b int) bool { return able[a].Loss < able[b].Loss })
+			sort.SliceStable(able, func(a, b int) bool {
+				if x, y := able[a].Job.Priority, able[b].Job.Priority; x != y {
+					return x < y
+				}
+				return able[a].Loss < able[b].Loss
+			})
 			g := f
 			var cost time.Duration
 			for _, s := range able {
@@ -374,11 +379,11 @@
 					break
 				}
 				g = g.Add(s.Room)
-				cost += s.Loss
+				cost += time.Duration(float64(s.Loss) * max(s.Room.GPUs, 1))
 				o.victim = append(o.victim, s)
 			}
 			if g.Fits(need) {
-				o.cost = cost.Seconds() + r.delay(j)
+				o.cost = cost.Seconds() + r.delay(j)*max(need.GPUs, 1)
 				o.coming = g.Count(need, n)
 			} else {
 				o.victim = nil
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -104,6 +104,17 @@
 	StopGrace = 2 * time.Second
 	// StopResend is the pause before a stop order is sent directly again.
 	StopResend = 2 * time.Second
+	// RestartCost is what a stopped task loses beside its saving: it queues
+	// again and may have to fetch its image anew.
+	RestartCost = 10 * time.Second
+	// GangRestart multiplies it for gangs, which need whole machines at once.
+	GangRestart = 3
+	// StartCounts is how long a task must run for its start to count
+	// (protocol); EarlyStop is the extra cost of stopping it before.
+	StartCounts = 30 * time.Second
+	EarlyStop   = 5 * time.Second
+	// SummaryEvery is the time between two summaries in the debug log.
+	SummaryEvery = 5 * time.Second
 	// NoticeGrace is the remaining notice below which a machine that is
 	// being taken back gets no new tasks saved: they are stopped at once.
 	NoticeGrace = 1 * time.Second
