--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,15 @@
 type Operator struct {
 	Holds   HoldSettings   `yaml:"holds"`
 	Budgets BudgetSettings `yaml:"budgets"`
+	Renting RentSettings   `yaml:"renting"`
+}
+
+// RentSettings steer how many machines are rented.
+type RentSettings struct {
+	// Headroom is how many times the present demand is rented for.
+	Headroom float64 `yaml:"headroom"`
+	// Keep is how many times the recent demand idle machines are kept for.
+	Keep float64 `yaml:"keep"`
 }
 
 // HoldSettings steer speculative slot reservation.
@@ -44,6 +53,7 @@
 	return Operator{
 		Holds:   HoldSettings{Enabled: true, Alpha: tuning.HoldAlpha, P: tuning.HoldP, Threshold: tuning.HoldThreshold},
 		Budgets: BudgetSettings{LeaderShare: tuning.LeaderShare, Use: tuning.BudgetUse},
+		Renting: RentSettings{Headroom: tuning.RentHeadroom, Keep: tuning.KeepHeadroom},
 	}
 }
 
@@ -85,6 +95,12 @@
 	if !(op.Budgets.Use > 0 && op.Budgets.Use <= 1) {
 		bad("budgets.use", "above 0 and at most 1", op.Budgets.Use)
 	}
+	if !(op.Renting.Headroom >= 1 && op.Renting.Headroom <= 100) {
+		bad("renting.headroom", "from 1 to 100", op.Renting.Headroom)
+	}
+	if !(op.Renting.Keep >= 1 && op.Renting.Keep <= 1000) {
+		bad("renting.keep", "from 1 to 1000", op.Renting.Keep)
+	}
 	if err := errors.Join(errs...); err != nil {
 		return Operator{}, err
 	}
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -7,6 +7,7 @@
 
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
+	"thornnotch/internal/market"
 	"thornnotch/internal/placement"
 	"thornnotch/internal/tuning"
 )
@@ -58,6 +59,11 @@
 	return r
 }
 
+// pool is where the machine was rented from.
+func (r *rig) pool() market.Pool {
+	return market.Pool{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
+}
+
 // urgent asks for the record to be written at once, lazy within a while.
 func (r *rig) urgent() { r.due = time.Unix(1, 0) }
 
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -24,6 +24,8 @@
 	waiting []*placement.Job
 	// returned are machines given back, which lists may still show.
 	returned map[string]time.Time
+	memory   *market.Memory
+	weighed  time.Time
 }
 
 type booting struct {
@@ -35,6 +37,7 @@
 	m.booting = make(map[string]booting)
 	m.refused = make(map[market.Pool]time.Time)
 	m.returned = make(map[string]time.Time)
+	m.memory = market.NewMemory(tuning.KeepWindow)
 }
 
 func (m *marketState) unmet(jobs []*placement.Job, _ time.Time) { m.waiting = jobs }
@@ -67,6 +70,7 @@
 		}
 	}
 	l.retireRigs(now)
+	l.giveUpSurplus(now)
 	if m.busy {
 		return
 	}
@@ -287,14 +291,19 @@
 
 // wanted names the next machines to rent, if any.
 func (l *Leader) wanted(now time.Time) (market.Request, market.Pool, bool) {
-	cat := l.d.Catalog()
-	if cat == nil || !l.loaded {
+	if l.d.Catalog() == nil || !l.loaded {
 		return market.Request{}, market.Pool{}, false
 	}
-	v := market.View{Catalog: cat, Have: make(map[market.Pool]int), Refused: make(map[market.Pool]bool)}
+	req, ok := market.Next(l.marketView(now), l.d.Operator.Renting.Headroom)
+	return req, market.Pool{Type: req.RigType, Zone: req.Hall, Spot: req.Loaners}, ok
+}
+
+// marketView shows the present state to renting.
+func (l *Leader) marketView(now time.Time) market.View {
+	v := market.View{Catalog: l.d.Catalog(), Have: make(map[market.Pool]int), Refused: make(map[market.Pool]bool)}
 	for _, r := range l.rigs {
 		if !r.leaving && !r.faulty() && r.m.Recall.IsZero() {
-			v.Have[market.Pool{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}]++
+			v.Have[r.pool()]++
 		}
 	}
 	for _, b := range l.market.booting {
@@ -316,6 +325,30 @@
 	for _, t := range l.teams {
 		v.Limits = append(v.Limits, market.Limit{Owner: t.Name, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}})
 	}
-	req, ok := market.Next(v)
-	return req, market.Pool{Type: req.RigType, Zone: req.Hall, Spot: req.Loaners}, ok
+	return v
+}
+
+// giveUpSurplus returns machines that have been idle for a while and that the
+// demand of the last while would not have needed.
+func (l *Leader) giveUpSurplus(now time.Time) {
+	m := &l.market
+	if l.d.Catalog() == nil || !l.loaded || now.Sub(m.weighed) < time.Second {
+		return
+	}
+	m.weighed = now
+	v := l.marketView(now)
+	want := make(map[string]market.Want)
+	for _, t := range v.Catalog.RigTypes {
+		want[t.SKU] = market.Wants(v, t, l.d.Operator.Renting.Keep)
+	}
+	keep := m.memory.Note(now, want)
+	var idle []market.Idle
+	for _, r := range l.rigs {
+		if r.open(now) && len(r.m.Attempts) == 0 && len(l.book.On(r.m.Name)) == 0 && now.Sub(r.idleSince) > tuning.IdleReturn {
+			idle = append(idle, market.Idle{Name: r.m.Name, Pool: r.pool(), Images: len(r.images)})
+		}
+	}
+	for _, name := range market.Surplus(v, keep, idle) {
+		l.leave(l.rigs[name], "idle", now)
+	}
 }
--- a/internal/market/plan.go
+++ b/internal/market/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"thornnotch/internal/placement"
 	"thornnotch/internal/tuning"
@@ -39,10 +40,6 @@
 	Limits  []Limit
 }
 
-// Headroom is how many times the present demand is kept rented, so that most
-// jobs find room when they come.
-const Headroom = 1.5
-
 // Targets tells how many machines are wanted of each kind: ordinary ones for
 // what can't run elsewhere, spot ones for the rest.
 func Targets(v View, t RigType) (ordinary, spot float64) {
@@ -98,40 +95,141 @@
 	return false
 }
 
+// Want is how many machines of one type are wanted: ordinary ones for what
+// can't run elsewhere, and all together.
+type Want struct{ Ordinary, All float64 }
+
+// Wants adds the headroom to the present demand.
+func Wants(v View, t RigType, headroom float64) Want {
+	ordinary, spot := Targets(v, t)
+	return Want{math.Ceil(ordinary * headroom), math.Ceil((ordinary + spot) * headroom)}
+}
+
+// have counts the machines of a type, by kind.
+func (v View) have(sku string) (ordinary, spot int) {
+	for p, n := range v.Have {
+		switch {
+		case p.Type != sku:
+		case p.Spot:
+			spot += n
+		default:
+			ordinary += n
+		}
+	}
+	return ordinary, spot
+}
+
 // Next picks the next request, if more machines are wanted than there are.
 // What spot machines can't be had for is rented as ordinary ones.
-func Next(v View) (Request, bool) {
+func Next(v View, headroom float64) (Request, bool) {
 	types := append([]RigType(nil), v.Catalog.RigTypes...)
 	sort.Slice(types, func(i, j int) bool { return types[i].SKU < types[j].SKU })
 	for _, t := range types {
-		ordinary, spot := Targets(v, t)
-		var haveOrdinary, haveSpot int
-		for p, n := range v.Have {
-			switch {
-			case p.Type != t.SKU:
-			case p.Spot:
-				haveSpot += n
-			default:
-				haveOrdinary += n
+		w := Wants(v, t, headroom)
+		ordinary, spot := v.have(t.SKU)
+		if n := int(w.Ordinary) - ordinary; n > 0 {
+			if zone, ok := pickZone(v, t, false); ok {
+				return Request{RigType: t.SKU, Hall: zone, Count: min(n, tuning.RentBatch)}, true
 			}
 		}
-		wantSpot := int(math.Ceil(spot * Headroom))
-		wantAll := int(math.Ceil((ordinary + spot) * Headroom))
-		wantOrdinary := int(math.Ceil(ordinary * Headroom))
-		if n := min(wantSpot-haveSpot, wantAll-haveSpot-haveOrdinary); n > 0 {
+		if n := int(w.All) - max(ordinary, int(w.Ordinary)) - spot; n > 0 {
 			if zone, ok := pickZone(v, t, true); ok {
 				return Request{RigType: t.SKU, Hall: zone, Loaners: true, Count: min(n, tuning.RentBatch)}, true
 			}
 		}
-		if n := max(wantOrdinary-haveOrdinary, wantAll-haveSpot-haveOrdinary); n > 0 {
+		if n := int(w.All) - ordinary - spot; n > 0 {
 			if zone, ok := pickZone(v, t, false); ok {
-				return Request{RigType: t.SKU, Hall: zone, Loaners: false, Count: min(n, tuning.RentBatch)}, true
+				return Request{RigType: t.SKU, Hall: zone, Count: min(n, tuning.RentBatch)}, true
 			}
 		}
 	}
 	return Request{}, false
 }
 
+// Idle is a machine with nothing on it.
+type Idle struct {
+	Name   string
+	Pool   Pool
+	Images int // what its cache holds is lost with it
+}
+
+// Surplus names the idle machines that are not wanted any more: the dear ones
+// first, and of those the ones with the least in their cache.
+func Surplus(v View, keep map[string]Want, idle []Idle) (names []string) {
+	price := func(p Pool) float64 {
+		t, _ := v.Catalog.Type(p.Type)
+		if p.Spot {
+			return t.MarketPrice
+		}
+		return t.Rate
+	}
+	idle = append([]Idle(nil), idle...)
+	sort.Slice(idle, func(i, j int) bool {
+		a, b := idle[i], idle[j]
+		if x, y := price(a.Pool), price(b.Pool); x != y {
+			return x > y
+		}
+		if a.Images != b.Images {
+			return a.Images < b.Images
+		}
+		return a.Name < b.Name
+	})
+	type count struct{ ordinary, spot int }
+	have := make(map[string]*count)
+	for _, m := range idle {
+		c := have[m.Pool.Type]
+		if c == nil {
+			o, s := v.have(m.Pool.Type)
+			c = &count{o, s}
+			have[m.Pool.Type] = c
+		}
+		w, known := keep[m.Pool.Type]
+		if !known || c.ordinary+c.spot <= int(w.All) {
+			continue
+		}
+		if m.Pool.Spot {
+			c.spot--
+		} else {
+			if c.ordinary <= int(w.Ordinary) {
+				continue
+			}
+			c.ordinary--
+		}
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// Memory remembers the greatest wants of the last while, so that a short lull
+// does not give machines back.
+type Memory struct {
+	window  time.Duration
+	samples []sample
+}
+
+type sample struct {
+	at   time.Time
+	want map[string]Want
+}
+
+// NewMemory remembers for the given time.
+func NewMemory(window time.Duration) *Memory { return &Memory{window: window} }
+
+// Note adds the present wants and returns the greatest of the window.
+func (m *Memory) Note(now time.Time, want map[string]Want) map[string]Want {
+	m.samples = append(m.samples, sample{now, want})
+	for len(m.samples) > 0 && now.Sub(m.samples[0].at) > m.window {
+		m.samples = m.samples[1:]
+	}
+	most := make(map[string]Want)
+	for _, s := range m.samples {
+		for sku, w := range s.want {
+			most[sku] = Want{max(most[sku].Ordinary, w.Ordinary), max(most[sku].All, w.All)}
+		}
+	}
+	return most
+}
+
 // pickZone takes the zone with the fewest machines of the type, so that the
 // loss of one hurts least.
 func pickZone(v View, t RigType, spot bool) (string, bool) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -149,7 +149,14 @@
 	// ReturnBatch is the largest number of names in one return.
 	ReturnBatch = 100
 	// IdleReturn is how long an unneeded machine is kept where price counts.
-	IdleReturn = 25 * time.Second
+	IdleReturn = 20 * time.Second
+	// KeepWindow is how far back demand is remembered before machines are
+	// given back.
+	KeepWindow = 40 * time.Second
+	// RentHeadroom and KeepHeadroom are the defaults of the operator settings
+	// headroom and keep: how many times the demand is rented for, and kept.
+	RentHeadroom = 1.25
+	KeepHeadroom = 1.25
 )
 
 // Serving.
