--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -129,7 +129,13 @@
 		s += spareOrdinary
 	}
 	if j.Spec.Shape != "gang" && r.Total.GPUs > 0 {
-		s += spareEmpty * (1 - r.used.GPUs/r.Total.GPUs)
+		if _, have := r.Cached[j.Spec.Bundle]; have || !r.Spot {
+			s += spareEmpty * (1 - r.used.GPUs/r.Total.GPUs)
+		} else {
+			// The image must be fetched anyway: on a machine that gangs can't
+			// use it had better come to one more machine than to few.
+			s += spareEmpty * r.used.GPUs / r.Total.GPUs
+		}
 	}
 	return s
 }
