--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -224,6 +224,7 @@
 			}
 			r.urgent()
 		case fleet.Seen:
+			l.d.Log.Debug("task seen", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name, "status", a.Status)
 			if j != nil && a.Status == fleet.Running && j.started.IsZero() {
 				j.started = now
 			}
