--- a/internal/intake/records.go
+++ b/internal/intake/records.go
@@ -13,3 +13,10 @@
 	Status string `json:"status"`
 	Pieces int    `json:"pieces"`
 }
+
+// Record is what is kept of an open job. It never changes.
+type Record struct {
+	Job
+	// AtMS is when the job was accepted, in Unix milliseconds.
+	AtMS int64 `json:"atMs"`
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
@@ -142,7 +143,7 @@
 		}
 		return
 	}
-	value, err := json.Marshal(j)
+	value, err := json.Marshal(Record{*j, time.Now().UnixMilli()})
 	if err != nil {
 		WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
 		return
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
 	"thornnotch/internal/placement"
@@ -83,8 +84,10 @@
 	if l.jobs[name] != nil || l.finished[name] {
 		return
 	}
-	var spec intake.Job
-	if err := json.Unmarshal(v, &spec); err != nil || spec.NameID != name || spec.Pieces < 1 || spec.Pieces > tuning.MaxPieces {
+	var rec intake.Record
+	err := json.Unmarshal(v, &rec)
+	spec := rec.Job
+	if err != nil || spec.NameID != name || spec.Pieces < 1 || spec.Pieces > tuning.MaxPieces {
 		l.d.Log.Error("unreadable job", "key", key, "err", err)
 		return
 	}
@@ -93,12 +96,36 @@
 		did: make(bitset, (spec.Pieces+7)/8), safe: make(bitset, (spec.Pieces+7)/8),
 		stamps: make(map[int]uint64), seats: make(map[int][]seat), avoid: make(map[string]time.Time),
 	}
-	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now}
+	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now, Targets: l.targets(&spec)}
+	if at := time.UnixMilli(rec.AtMS); rec.AtMS > 0 && at.Before(now) {
+		j.view.Submitted = at
+	}
 	l.jobs[name] = j
 	l.dirty = true
 	l.d.Log.Debug("job", "id", name, "owner", spec.Owner, "workload", spec.Workload, "pieces", spec.Pieces)
 }
 
+// targets are the latest starts at which a job still meets its users' aims. A
+// class without aims goes by the job's own due time.
+func (l *Leader) targets(spec *intake.Job) (out []time.Duration) {
+	for _, o := range l.d.Settings.Params.Objectives {
+		if o.Class != spec.Workload {
+			continue
+		}
+		switch o.Kind {
+		case "wait":
+			out = append(out, config.Seconds(o.WithinS))
+		case "finished":
+			out = append(out, config.Seconds(o.WithinS-spec.ExpectS))
+		}
+	}
+	if len(out) == 0 && spec.DueS != nil {
+		out = append(out, config.Seconds(*spec.DueS-spec.ExpectS))
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i] < out[k] })
+	return out
+}
+
 // jobGone is called when a job's record has left the open ones: this leader
 // has finished it, or its user has cancelled it.
 func (l *Leader) jobGone(name string, now time.Time) {
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -232,3 +232,22 @@
 		}
 	})
 }
+
+// TestOrderAmongEquals: who must start soonest goes first; a job that can meet
+// no aim any more stands behind, but not for ever.
+func TestOrderAmongEquals(t *testing.T) {
+	now := time.Unix(100000, 0)
+	job := func(id string, age time.Duration, targets ...time.Duration) *Job {
+		j := sweepJob(id, "a", 1)
+		j.Submitted, j.Targets = now.Add(-age), targets
+		j.Weigh(now)
+		return j
+	}
+	tight := job("j-1", 10*time.Second, 50*time.Second)
+	loose := job("j-2", 60*time.Second, 40*time.Second, 120*time.Second)
+	late := job("j-3", 70*time.Second, 40*time.Second)
+	ancient := job("j-4", time.Hour, 40*time.Second)
+	if !Before(tight, loose) || !Before(loose, late) || !Before(ancient, tight) {
+		t.Errorf("slacks %v, %v, %v, %v", tight.Slack, loose.Slack, late.Slack, ancient.Slack)
+	}
+}
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -128,8 +128,42 @@
 	Zones      map[string]int // tasks that may be on machines, by zone
 	Avoid      map[string]bool
 	Blocked    bool // may not start now: backing off, or an old attempt stands
+	// Targets are the latest times after submission at which the job can
+	// start and still meet one aim of its users, in rising order.
+	Targets []time.Duration
+	// Late is set once no target can be met any more; Slack is the time left
+	// until the next one, or else how far back the job stands among the late.
+	Late  bool
+	Slack time.Duration
+}
+
+// Weigh sets how urgently the job must start, for the order among equals:
+// whoever must start soonest to meet an aim goes first. A job that has missed
+// all its aims would only make others miss theirs, so it stands behind them,
+// but moves up with its age and is not passed over for ever.
+func (j *Job) Weigh(now time.Time) {
+	age := now.Sub(j.Submitted)
+	for _, t := range j.Targets {
+		if t > age {
+			j.Late, j.Slack = false, t-age
+			return
+		}
+	}
+	j.Late = true
+	var last time.Duration
+	if n := len(j.Targets); n > 0 {
+		last = j.Targets[n-1]
+	}
+	j.Slack = lateStanding - (age-last)/lateRise
 }
 
+const (
+	// lateStanding is how far behind a job that has just missed its last aim
+	// stands; lateRise is how many seconds of age move it up by one.
+	lateStanding = 90 * time.Second
+	lateRise     = 2
+)
+
 // Pipeline tells which pipeline the job belongs to.
 func (j *Job) Pipeline() Pipeline { return Pipeline{j.Spec.Owner, j.Spec.Workload} }
 
@@ -171,13 +205,16 @@
 	Unmet []*Job
 }
 
-// Before orders jobs: priority, then guarantee, then age.
+// Before orders jobs: priority, then guarantee, then the time left to meet an
+// aim, then age.
 func Before(a, b *Job) bool {
 	switch {
 	case a.Priority != b.Priority:
 		return a.Priority > b.Priority
 	case a.Guaranteed != b.Guaranteed:
 		return a.Guaranteed
+	case a.Slack != b.Slack:
+		return a.Slack < b.Slack
 	case a.Order != b.Order:
 		return a.Order < b.Order
 	}
