--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -28,6 +28,15 @@
 		l.evict(e, now)
 	}
 	l.place(plan, jobs, now)
+	for _, v := range w.Jobs {
+		v.Claims = nil
+	}
+	for _, c := range plan.Claims {
+		if c.Job.Claims == nil {
+			c.Job.Claims = make(map[string]bool)
+		}
+		c.Job.Claims[c.Rig.Name] = true
+	}
 	l.market.unmet(plan.Unmet, now)
 	l.summary(w, now)
 }
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -8,9 +8,16 @@
 // Weights of a machine's score, in seconds of delay that they are worth.
 const (
 	// spareOrdinary keeps ordinary machines for jobs that can't use others.
-	spareOrdinary = 6.0
+	spareOrdinary = 4.0
 	// spareEmpty keeps machines whole for gangs.
 	spareEmpty = 3.0
+	// spareWhole is what it is worth not to break the last whole machine that
+	// gangs which can't use spot machines could take; it is shared out over
+	// as many as there are.
+	spareWhole = 30.0
+	// claimKept is how much longer a waiting gang stays with the machine that
+	// it already waits for than another would have to be quicker.
+	claimKept = 20.0
 )
 
 // Decide runs one pass over the world.
@@ -19,6 +26,9 @@
 	sort.Slice(w.Rigs, func(i, j int) bool { return w.Rigs[i].Name < w.Rigs[j].Name })
 	for i, r := range w.Rigs {
 		r.rank = i
+		if r.Open && !r.Spot && len(r.Slots) == 0 {
+			p.whole++
+		}
 		for _, s := range r.Slots {
 			r.used = r.used.Add(s.Room)
 			if s.Ending && s.Job != nil {
@@ -43,6 +53,8 @@
 type pass struct {
 	*World
 	plan *Plan
+	// whole is the number of ordinary machines with nothing on them.
+	whole int
 	// ending is what this pass has told each team's tasks to give up.
 	ending map[string]Room
 }
@@ -117,7 +129,7 @@
 }
 
 // score ranks machines for a task; lower is better.
-func (r *Rig) score(j *Job) float64 {
+func (p *pass) score(r *Rig, j *Job) float64 {
 	s := r.delay(j)
 	if r.Speed > 0 {
 		s += j.Spec.ExpectS * (1/r.Speed - 1)
@@ -127,6 +139,9 @@
 	}
 	if j.Spec.Loaners && !r.Spot {
 		s += spareOrdinary
+		if j.Spec.Shape != "gang" && r.used == (Room{}) && p.whole > 0 {
+			s += spareWhole / float64(p.whole)
+		}
 	}
 	if j.Spec.Shape != "gang" && r.Total.GPUs > 0 {
 		if _, have := r.Cached[j.Spec.Bundle]; have || !r.Spot {
@@ -143,6 +158,9 @@
 // put books one task on a machine.
 func (p *pass) put(j *Job, index int, r *Rig) {
 	need := Need(j.Spec)
+	if !r.Spot && r.used == (Room{}) {
+		p.whole--
+	}
 	r.used = r.used.Add(need)
 	p.Teams[j.Spec.Owner].Used = p.Teams[j.Spec.Owner].Used.Add(need)
 	for i, h := range r.Held {
@@ -202,7 +220,7 @@
 			if !p.usable(j, r) || !zoneAllows(j, r.Zone) || !r.free(j).Fits(need) || !p.limitAllows(j, r) {
 				continue
 			}
-			if s := r.score(j); best == nil || s < bestScore {
+			if s := p.score(r, j); best == nil || s < bestScore {
 				best, bestScore = r, s
 			}
 		}
@@ -265,7 +283,7 @@
 		}
 		n := room(r).Count(need, len(j.Waiting))
 		for k := 0; k < n; k++ {
-			s := seat{r, r.score(j)}
+			s := seat{r, p.score(r, j)}
 			if byZone[r.Zone] == nil {
 				zones = append(zones, r.Zone)
 			}
@@ -397,6 +415,9 @@
 					left = max(left, s.Left)
 				}
 				o.cost = 1e6 + left.Seconds() + r.delay(j)
+				if j.Claims[r.Name] {
+					o.cost -= claimKept
+				}
 			}
 		} else {
 			o.cost = r.delay(j)
@@ -449,6 +470,7 @@
 		}
 		if gang || len(o.victim) > 0 {
 			o.rig.claimed = j.Spec.NameID
+			p.plan.Claims = append(p.plan.Claims, Claim{j, o.rig})
 		}
 		n -= max(1, o.coming)
 	}
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -128,6 +128,8 @@
 	Zones      map[string]int // tasks that may be on machines, by zone
 	Avoid      map[string]bool
 	Blocked    bool // may not start now: backing off, or an old attempt stands
+	// Claims are the machines that the last pass kept for the job.
+	Claims map[string]bool
 	// Targets are the latest times after submission at which the job can
 	// start and still meet one aim of its users, in rising order.
 	Targets []time.Duration
@@ -197,10 +199,17 @@
 	For  *Job
 }
 
+// Claim keeps a machine's room that is about to come free for a job.
+type Claim struct {
+	Job *Job
+	Rig *Rig
+}
+
 // Plan is what a pass decided. The starts of a gang are all there or none.
 type Plan struct {
 	Starts []Start
 	Evicts []Evict
+	Claims []Claim
 	// Unmet are the jobs, in order, that could not start all their tasks.
 	Unmet []*Job
 }
