--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -156,7 +156,7 @@
 	// RentHeadroom and KeepHeadroom are the defaults of the operator settings
 	// headroom and keep: how many times the demand is rented for, and kept.
 	RentHeadroom = 1.25
-	KeepHeadroom = 1.25
+	KeepHeadroom = 1000
 )
 
 // Serving.
