--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -155,8 +155,8 @@
 	KeepWindow = 40 * time.Second
 	// RentHeadroom and KeepHeadroom are the defaults of the operator settings
 	// headroom and keep: how many times the demand is rented for, and kept.
-	RentHeadroom = 1.05
-	KeepHeadroom = 1.05
+	RentHeadroom = 1.6
+	KeepHeadroom = 1.6
 )
 
 // Serving.
