--- a/internal/market/plan.go
+++ b/internal/market/plan.go
@@ -96,13 +96,28 @@
 }
 
 // Want is how many machines of one type are wanted: ordinary ones for what
-// can't run elsewhere, and all together.
-type Want struct{ Ordinary, All float64 }
+// can't run elsewhere, all together, and how many of these may be ordinary
+// ones that only stand in for spot machines.
+type Want struct{ Ordinary, All, Overflow float64 }
 
-// Wants adds the headroom to the present demand.
+// Wants adds the headroom to the present demand. Work that spot machines could
+// do is worth an ordinary one only in part: the dearer it is, the longer that
+// work had better wait for its turn.
 func Wants(v View, t RigType, headroom float64) Want {
 	ordinary, spot := Targets(v, t)
-	return Want{math.Ceil(ordinary * headroom), math.Ceil((ordinary + spot) * headroom)}
+	w := Want{Ordinary: math.Ceil(ordinary * headroom), All: math.Ceil((ordinary + spot) * headroom)}
+	part := 1.0
+	if t.Rate > 0 && t.MarketPrice > 0 {
+		part = min(1, tuning.OverflowWorth*t.MarketPrice/t.Rate)
+	}
+	w.Overflow = part
+	return w
+}
+
+// overflow is how many ordinary machines are wanted in place of spot ones, of
+// which there are this many.
+func (w Want) overflow(spot int) int {
+	return int(math.Ceil(max(0, w.All-w.Ordinary-float64(spot)) * w.Overflow))
 }
 
 // have counts the machines of a type, by kind.
@@ -137,7 +152,7 @@
 				return Request{RigType: t.SKU, Hall: zone, Loaners: true, Count: min(n, tuning.RentBatch)}, true
 			}
 		}
-		if n := int(w.All) - ordinary - spot; n > 0 {
+		if n := int(w.Ordinary) + w.overflow(spot) - ordinary; n > 0 {
 			if zone, ok := pickZone(v, t, false); ok {
 				return Request{RigType: t.SKU, Hall: zone, Count: min(n, tuning.RentBatch)}, true
 			}
@@ -184,13 +199,16 @@
 			have[m.Pool.Type] = c
 		}
 		w, known := keep[m.Pool.Type]
-		if !known || c.ordinary+c.spot <= int(w.All) {
+		if !known {
 			continue
 		}
 		if m.Pool.Spot {
+			if c.ordinary+c.spot <= int(w.All) {
+				continue
+			}
 			c.spot--
 		} else {
-			if c.ordinary <= int(w.Ordinary) {
+			if c.ordinary <= int(w.Ordinary)+w.overflow(c.spot) {
 				continue
 			}
 			c.ordinary--
@@ -224,7 +242,7 @@
 	most := make(map[string]Want)
 	for _, s := range m.samples {
 		for sku, w := range s.want {
-			most[sku] = Want{max(most[sku].Ordinary, w.Ordinary), max(most[sku].All, w.All)}
+			most[sku] = Want{max(most[sku].Ordinary, w.Ordinary), max(most[sku].All, w.All), w.Overflow}
 		}
 	}
 	return most
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -153,6 +153,10 @@
 	// KeepWindow is how far back demand is remembered before machines are
 	// given back.
 	KeepWindow = 40 * time.Second
+	// OverflowWorth times the spot price, by the ordinary price, is the part
+	// of the work that spot machines can't be had for which ordinary machines
+	// are rented for.
+	OverflowWorth = 0
 	// RentHeadroom and KeepHeadroom are the defaults of the operator settings
 	// headroom and keep: how many times the demand is rented for, and kept.
 	RentHeadroom = 1.6
