--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -156,7 +156,7 @@
 	// OverflowWorth times the spot price, by the ordinary price, is the part
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
-	OverflowWorth = 1
+	OverflowWorth = 2
 	// RentHeadroom and KeepHeadroom are the defaults of the operator settings
 	// headroom and keep: how many times the demand is rented for, and kept.
 	RentHeadroom = 1.6
