--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -9,8 +9,11 @@
 const (
 	// spareOrdinary keeps ordinary machines for jobs that can't use others.
 	spareOrdinary = 4.0
-	// spareEmpty keeps machines whole for gangs.
+	// spareEmpty keeps machines whole for gangs, and lets others run empty so
+	// that they can be returned.
 	spareEmpty = 3.0
+	// sparePart fills machines that have the image one after the other.
+	sparePart = 10.0
 	// spareWhole is what it is worth not to break the last whole machine that
 	// gangs which can't use spot machines could take; it is shared out over
 	// as many as there are.
@@ -145,7 +148,7 @@
 	}
 	if j.Spec.Shape != "gang" && r.Total.GPUs > 0 {
 		if _, have := r.Cached[j.Spec.Bundle]; have || !r.Spot {
-			s += spareEmpty * (1 - r.used.GPUs/r.Total.GPUs)
+			s += sparePart * (1 - r.used.GPUs/r.Total.GPUs)
 		} else {
 			// The image must be fetched anyway: on a machine that gangs can't
 			// use it had better come to one more machine than to few.
