--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,9 +22,11 @@
 
 // RentSettings steer how many machines are rented.
 type RentSettings struct {
-	// Headroom is how many times the present demand is rented for.
-	Headroom float64 `yaml:"headroom"`
-	// Keep is how many times the recent demand idle machines are kept for.
+	// Spare is how many machines more than the present demand fills are
+	// rented, in units of the square root of that number.
+	Spare float64 `yaml:"spare"`
+	// Keep is the same for how many idle machines are kept, with the greatest
+	// demand of the last while.
 	Keep float64 `yaml:"keep"`
 }
 
@@ -53,7 +55,7 @@
 	return Operator{
 		Holds:   HoldSettings{Enabled: true, Alpha: tuning.HoldAlpha, P: tuning.HoldP, Threshold: tuning.HoldThreshold},
 		Budgets: BudgetSettings{LeaderShare: tuning.LeaderShare, Use: tuning.BudgetUse},
-		Renting: RentSettings{Headroom: tuning.RentHeadroom, Keep: tuning.KeepHeadroom},
+		Renting: RentSettings{Spare: tuning.RentSpare, Keep: tuning.KeepSpare},
 	}
 }
 
@@ -95,11 +97,11 @@
 	if !(op.Budgets.Use > 0 && op.Budgets.Use <= 1) {
 		bad("budgets.use", "above 0 and at most 1", op.Budgets.Use)
 	}
-	if !(op.Renting.Headroom >= 1 && op.Renting.Headroom <= 100) {
-		bad("renting.headroom", "from 1 to 100", op.Renting.Headroom)
+	if !(op.Renting.Spare >= 0 && op.Renting.Spare <= 1000) {
+		bad("renting.spare", "from 0 to 1000", op.Renting.Spare)
 	}
-	if !(op.Renting.Keep >= 1 && op.Renting.Keep <= 1000) {
-		bad("renting.keep", "from 1 to 1000", op.Renting.Keep)
+	if !(op.Renting.Keep >= 0 && op.Renting.Keep <= 1000) {
+		bad("renting.keep", "from 0 to 1000", op.Renting.Keep)
 	}
 	if err := errors.Join(errs...); err != nil {
 		return Operator{}, err
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -294,7 +294,7 @@
 	if l.d.Catalog() == nil || !l.loaded {
 		return market.Request{}, market.Pool{}, false
 	}
-	req, ok := market.Next(l.marketView(now), l.d.Operator.Renting.Headroom)
+	req, ok := market.Next(l.marketView(now), l.d.Operator.Renting.Spare)
 	return req, market.Pool{Type: req.RigType, Zone: req.Hall, Spot: req.Loaners}, ok
 }
 
--- a/internal/market/plan.go
+++ b/internal/market/plan.go
@@ -100,17 +100,19 @@
 // ones that only stand in for spot machines.
 type Want struct{ Ordinary, All, Overflow float64 }
 
-// Wants adds the headroom to the present demand. Work that spot machines could
-// do is worth an ordinary one only in part: the dearer it is, the longer that
-// work had better wait for its turn.
-func Wants(v View, t RigType, headroom float64) Want {
+// Wants adds spare machines to the present demand. Demand comes in jobs, at
+// random: how far it strays from its mean grows with the square root of it,
+// and so does what must stand ready. Work that spot machines could do is worth
+// an ordinary one only in part: the dearer it is, the longer that work had
+// better wait for its turn.
+func Wants(v View, t RigType, spare float64) Want {
 	ordinary, spot := Targets(v, t)
-	w := Want{Ordinary: math.Ceil(ordinary * headroom), All: math.Ceil((ordinary + spot) * headroom)}
 	part := 1.0
 	if t.Rate > 0 && t.MarketPrice > 0 {
 		part = min(1, tuning.OverflowWorth*t.MarketPrice/t.Rate)
 	}
-	w.Overflow = part
+	w := Want{Ordinary: math.Ceil(ordinary + spare*part*math.Sqrt(ordinary)), Overflow: part}
+	w.All = w.Ordinary + math.Ceil(spot+spare*math.Sqrt(spot))
 	return w
 }
 
@@ -136,11 +138,11 @@
 
 // Next picks the next request, if more machines are wanted than there are.
 // What spot machines can't be had for is rented as ordinary ones.
-func Next(v View, headroom float64) (Request, bool) {
+func Next(v View, spare float64) (Request, bool) {
 	types := append([]RigType(nil), v.Catalog.RigTypes...)
 	sort.Slice(types, func(i, j int) bool { return types[i].SKU < types[j].SKU })
 	for _, t := range types {
-		w := Wants(v, t, headroom)
+		w := Wants(v, t, spare)
 		ordinary, spot := v.have(t.SKU)
 		if n := int(w.Ordinary) - ordinary; n > 0 {
 			if zone, ok := pickZone(v, t, false); ok {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,10 +157,11 @@
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
 	OverflowWorth = 2
-	// RentHeadroom and KeepHeadroom are the defaults of the operator settings
-	// headroom and keep: how many times the demand is rented for, and kept.
-	RentHeadroom = 1.6
-	KeepHeadroom = 1.6
+	// RentSpare and KeepSpare are the defaults of the operator settings spare
+	// and keep: machines beside those that the demand fills, in units of the
+	// square root of their number.
+	RentSpare = 1
+	KeepSpare = 1
 )
 
 // Serving.
