--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -160,8 +160,8 @@
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
 	// and keep: machines beside those that the demand fills, in units of the
 	// square root of their number.
-	RentSpare = 2
-	KeepSpare = 2
+	RentSpare = 3
+	KeepSpare = 3
 )
 
 // Serving.
