--- a/cmd/thornnotch/main.go
+++ b/cmd/thornnotch/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"strings"
@@ -15,6 +16,7 @@
 
 	"thornnotch/internal/config"
 	"thornnotch/internal/node"
+	"thornnotch/internal/tuning"
 )
 
 // version is set at release with -ldflags.
@@ -61,7 +63,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return node.New(set, op, log).Run(ctx)
+	node.FitMachine(set.Params.Limits)
+	network := node.System{Dialer: &net.Dialer{Timeout: tuning.DialTimeout}}
+	return node.New(set, op, network, log).Run(ctx)
 }
 
 type checkCmd struct {
--- a/internal/fleet/courier.go
+++ b/internal/fleet/courier.go
@@ -15,11 +15,10 @@
 // Courier carries orders to workers' own addresses.
 type Courier struct{ http *http.Client }
 
-// NewCourier makes a courier.
-func NewCourier() *Courier {
-	dialer := &net.Dialer{Timeout: tuning.CommandTimeout}
+// NewCourier makes a courier that reaches workers through dial.
+func NewCourier(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Courier {
 	return &Courier{&http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
+		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
 		IdleConnTimeout: tuning.HeaderTimeout, DisableCompression: true,
 	}}}
 }
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -61,6 +61,9 @@
 	}
 	entries := l.collect(now)
 	if len(entries) == 0 {
+		// What could not be written has become needless meanwhile; without
+		// this, placement would wait for ever for a write to succeed.
+		c.backoff = 0
 		return
 	}
 	c.busy = true
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -188,16 +188,15 @@
 // was raised, so no older leader can change them any more.
 func (l *Leader) load(ctx context.Context) (epoch uint64, err error) {
 	start := time.Now()
-	open, epoch, err := l.d.Store.List(ctx, ledger.Lease, intake.OpenPrefix)
+	open, epoch, err := l.read(ctx, intake.OpenPrefix)
 	if err != nil {
 		return 0, err
 	}
-	l.sure = start
-	dids, _, err := l.d.Store.List(ctx, ledger.Lease, didPrefix)
+	dids, _, err := l.read(ctx, didPrefix)
 	if err != nil {
 		return 0, err
 	}
-	rigs, _, err := l.d.Store.List(ctx, ledger.Lease, rigPrefix)
+	rigs, _, err := l.read(ctx, rigPrefix)
 	if err != nil {
 		return 0, err
 	}
@@ -225,6 +224,23 @@
 	return epoch, nil
 }
 
+// read lists one kind of record, trying again for as long as the term lasts:
+// giving the lead up over one failed answer would only start it all anew.
+func (l *Leader) read(ctx context.Context, prefix string) ([]ledger.Row, uint64, error) {
+	for {
+		asked := time.Now()
+		rows, epoch, err := l.d.Store.List(ctx, ledger.Lease, prefix)
+		if prefix == intake.OpenPrefix {
+			l.sure = asked
+		}
+		if err == nil || ctx.Err() != nil {
+			return rows, epoch, err
+		}
+		l.d.Log.Info("records can't be read", "prefix", prefix, "err", err)
+		pause(ctx, tuning.BackoffMin)
+	}
+}
+
 func (l *Leader) loadDone(row ledger.Row) error {
 	name, chunk, ok := parseDidKey(row.K)
 	if !ok {
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -384,6 +384,11 @@
 		ch <- Reply{Status: 503}
 		return
 	}
+	if _, gone := l.market.returned[rep.Rig]; gone {
+		// The cloud has confirmed its end: this report was under way since.
+		ch <- Reply{Status: 503}
+		return
+	}
 	r := l.rig(rep.Rig, now)
 	fresh := l.observe(r, rep, false, now)
 	if l.ended != nil {
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -82,13 +82,12 @@
 	Budget *Budget
 }
 
-// New makes a client of the service at addr.
-func New(addr string, budget *Budget) *Client {
-	dialer := &net.Dialer{Timeout: tuning.StateTimeout}
+// New makes a client of the service at addr, reached through dial.
+func New(addr string, budget *Budget, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
 	return &Client{
 		base: "http://" + addr,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxConnsPerHost:     tuning.StateConns,
 			MaxIdleConnsPerHost: tuning.StateConns,
 			DisableCompression:  true,
--- a/internal/market/cloud.go
+++ b/internal/market/cloud.go
@@ -104,13 +104,13 @@
 	tokens *rate.Limiter
 }
 
-// NewCloud makes a client of the cloud at addr, for rps calls a second.
-func NewCloud(addr string, rps float64) *Cloud {
-	dialer := &net.Dialer{Timeout: tuning.CloudTimeout}
+// NewCloud makes a client of the cloud at addr, reached through dial, for rps
+// calls a second.
+func NewCloud(addr string, rps float64, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Cloud {
 	return &Cloud{
 		base: "http://" + addr,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2, DisableCompression: true,
+			DialContext: dial, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2, DisableCompression: true,
 		}},
 		tokens: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -85,13 +85,14 @@
 // Peers calls other nodes.
 type Peers struct {
 	addrs map[string]string
+	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 	mu    sync.Mutex
 	open  map[string]*rpc.Client
 }
 
 // NewPeers makes a caller of the nodes at these addresses, by label.
-func NewPeers(addrs map[string]string) *Peers {
-	return &Peers{addrs: addrs, open: make(map[string]*rpc.Client)}
+func NewPeers(addrs map[string]string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Peers {
+	return &Peers{addrs: addrs, dial: dial, open: make(map[string]*rpc.Client)}
 }
 
 var errNoPeer = errors.New("mesh: no such node")
@@ -107,8 +108,7 @@
 	if !ok {
 		return nil, errNoPeer
 	}
-	d := net.Dialer{Timeout: tuning.MeshTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,8 +32,21 @@
 // cloud is down can still tell what can run.
 const catalogKey = "site/catalog"
 
+// Network is how a node reaches others and is reached.
+type Network interface {
+	Listen(network, addr string) (net.Listener, error)
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// System is the machine's own network.
+type System struct{ *net.Dialer }
+
+// Listen opens a listener.
+func (System) Listen(network, addr string) (net.Listener, error) { return net.Listen(network, addr) }
+
 // Node is one controller process.
 type Node struct {
+	net     Network
 	set     *config.Settings
 	op      config.Operator
 	log     *slog.Logger
@@ -46,16 +59,16 @@
 }
 
 // New makes a node from its settings.
-func New(set *config.Settings, op config.Operator, log *slog.Logger) *Node {
-	n := &Node{set: set, op: op, log: log}
-	n.store = ledger.New(set.Services.State, ledger.NewBudget(n.share(false)))
-	n.cloud = market.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use)
+func New(set *config.Settings, op config.Operator, network Network, log *slog.Logger) *Node {
+	n := &Node{net: network, set: set, op: op, log: log}
+	n.store = ledger.New(set.Services.State, ledger.NewBudget(n.share(false)), network.DialContext)
+	n.cloud = market.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use, network.DialContext)
 	n.elector = term.New(set.Label, n.store, log)
 	addrs := make(map[string]string)
 	for _, k := range set.Known {
 		addrs[k.Label] = k.Addr
 	}
-	n.peers = mesh.NewPeers(addrs)
+	n.peers = mesh.NewPeers(addrs, network.DialContext)
 	return n
 }
 
@@ -72,9 +85,8 @@
 	return n.set.Params.State.RPS * part, n.set.Params.State.WriteRPS * part
 }
 
-// fitMachine keeps the Go runtime within the machine's limits.
-func (n *Node) fitMachine() {
-	lim := n.set.Params.Limits
+// FitMachine keeps the Go runtime within the machine's limits.
+func FitMachine(lim config.Limits) {
 	if lim.MemMB > 0 {
 		debug.SetMemoryLimit(int64(lim.MemMB * tuning.MemoryShare * (1 << 20)))
 		// Collect seldom: the memory limit above keeps the heap in bounds.
@@ -87,7 +99,6 @@
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	n.fitMachine()
 	users, err := intake.NewServer(n.store, n.set.Params.Teams, func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
 	if err != nil {
 		return err
@@ -96,14 +107,14 @@
 	users.Register(mux)
 	mux.HandleFunc("POST /hello", n.hello)
 
-	listen, err := net.Listen("tcp", n.set.Listen)
+	listen, err := n.net.Listen("tcp", n.set.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	if lim := n.set.Params.Limits.Sockets; lim > 0 {
 		listen = netutil.LimitListener(listen, max(16, int(float64(lim)*tuning.SocketShare)))
 	}
-	meshListen, err := net.Listen("tcp", n.set.MeshAddr)
+	meshListen, err := n.net.Listen("tcp", n.set.MeshAddr)
 	if err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
@@ -139,7 +150,7 @@
 // lead runs one term.
 func (n *Node) lead(ctx context.Context, g term.Grant) error {
 	l := leader.New(leader.Deps{
-		Settings: n.set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(),
+		Settings: n.set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(n.net.DialContext),
 		Catalog: n.catalog.Load, Log: n.log,
 	}, g)
 	n.store.Budget.SetShare(n.share(true))
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -39,6 +39,9 @@
 	// StateTimeout bounds one ordinary request; answers take a few hundred
 	// milliseconds at worst, and users wait 2 s for a poll.
 	StateTimeout = 1500 * time.Millisecond
+	// DialTimeout bounds a new connection to any other host; the calls over it
+	// have their own, shorter ones.
+	DialTimeout = 4 * time.Second
 	// StateConns is the number of connections a node keeps to the service.
 	StateConns = 24
 	// LeaderShare is the leader's part of the request and write budgets: it
