--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const goodSettings = `label = "rig-0"
+site = "east"
+listen = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+unknown = "ignored"
+[[known]]
+label = "rig-1"
+addr = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+count = 2
+[[params.teams]]
+name = "vision"
+gpus = 4.0
+gpus_max = 8.0
+[params.workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 35.0
+gang_peer_s = 8.0
+cancel_s = 37.0
+[params.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 12
+[params.cloud]
+rps = 2.0
+list_lag_s = 10.0
+`
+
+// TestSettingsProblems: every problem is named with its key, all at once.
+func TestSettingsProblems(t *testing.T) {
+	if _, err := Parse(goodSettings); err != nil {
+		t.Fatalf("good settings: %v", err)
+	}
+	for _, c := range []struct{ from, to, key string }{
+		{`label = "rig-0"`, ``, "label"},
+		{`"10.0.0.1:8080"`, `"10.0.0.1"`, "listen"},
+		{`label = "rig-1"`, `label = "rig-0"`, "known[0].label"},
+		{`gpus_max = 8.0`, `gpus_max = 2.0`, "params.teams[0].gpus"},
+		{`gpus = 4.0`, `gpus = -4.0`, "params.teams[0].gpus"},
+		{`lease_s = 12.0`, `lease_s = 0.0`, "params.workers.lease_s"},
+		{`cancel_s = 37.0`, `cancel_s = 10.0`, "params.workers.cancel_s"},
+		{`txn_ops = 12`, `txn_ops = 1`, "params.state.txn_ops"},
+		{`rps = 2.0`, `rps = nan`, "params.cloud.rps"},
+		{`count = 2`, `count = "two"`, "count"},
+		{`[params]`, `[params`, "line"},
+	} {
+		_, err := Parse(strings.Replace(goodSettings, c.from, c.to, 1))
+		if err == nil || !strings.Contains(err.Error(), c.key) {
+			t.Errorf("%s: %v", c.to, err)
+		}
+	}
+	_, err := Parse("label = \"x\"\n")
+	if err == nil || strings.Count(err.Error(), "\n") < 8 {
+		t.Errorf("not all problems are named: %v", err)
+	}
+}
+
+// TestOperatorProblems: unknown keys and values out of range are named with
+// key and line.
+func TestOperatorProblems(t *testing.T) {
+	op, err := ParseOperator([]byte("holds:\n  p: 0.5\n"))
+	if err != nil || op.Holds.P != 0.5 || op.Holds.Alpha != DefaultOperator().Holds.Alpha {
+		t.Fatalf("%+v, %v", op, err)
+	}
+	if op, err := ParseOperator(nil); err != nil || op != DefaultOperator() {
+		t.Fatalf("empty file: %+v, %v", op, err)
+	}
+	for text, want := range map[string][]string{
+		"holds:\n  q: 1\n":            {"q", "2"},
+		"holds:\n  p: 1.5\n":          {"holds.p", "line 2"},
+		"holds:\n  alpha: 0.9\n":      {"holds.alpha", "line 2"},
+		"budgets:\n  use: 0\n":        {"budgets.use", "line 2"},
+		"renting:\n\n  spare: -1\n":   {"renting.spare", "line 3"},
+		"holds: [\n":                  {"operator settings"},
+		"holds:\n  threshold: lots\n": {"2"},
+	} {
+		_, err := ParseOperator([]byte(text))
+		for _, w := range want {
+			if err == nil || !strings.Contains(err.Error(), w) {
+				t.Errorf("%q: want %q in: %v", text, w, err)
+			}
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -78,6 +78,10 @@
 	if err := yaml.UnmarshalWithOptions(raw, &op, yaml.Strict()); err != nil {
 		return Operator{}, fmt.Errorf("operator settings: %s", strings.TrimSpace(yaml.FormatError(err, false, false)))
 	}
+	if op == (Operator{}) {
+		// A file without a single setting decodes to nothing at all.
+		return DefaultOperator(), nil
+	}
 	var errs []error
 	bad := func(key, want string, got any) {
 		errs = append(errs, fmt.Errorf("operator settings: %s%s: must be %s, is %v", key, lineOf(raw, key), want, got))
--- /dev/null
+++ b/internal/ledger/budget_test.go
@@ -0,0 +1,58 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestImportantCallsFirst: when tokens run short, unimportant calls leave the
+// last ones to important calls, and the lease is always renewed.
+func TestImportantCallsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(10, 10)
+		drawn := map[Class]int{}
+		for _, c := range []Class{Hold, Poll, Record, Submit, Cancel} {
+			for b.try(c, 1) {
+				drawn[c]++
+			}
+		}
+		if drawn[Hold] == 0 || drawn[Poll] == 0 {
+			t.Errorf("a full bucket refuses: %v", drawn)
+		}
+		left, _ := b.Left()
+		if left < Cancel.reserve()*10 {
+			t.Errorf("%v tokens left, below the reserve of the most important", left)
+		}
+		if !b.try(Lease, 0) {
+			t.Errorf("a lease renewal was refused")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		start := time.Now()
+		if err := b.Take(ctx, Hold, 1); err != nil || time.Since(start) > time.Second {
+			t.Errorf("tokens do not come back: %v after %v", err, time.Since(start))
+		}
+	})
+}
+
+// TestRateIsKept: over time no more goes out than the rate allows.
+func TestRateIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(50, 20)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		calls, writes := 0, 0
+		for b.Take(ctx, Record, 3) == nil {
+			calls++
+			writes += 3
+		}
+		if writes > 20*10+20 || calls > 50*10+50 {
+			t.Errorf("%d calls and %d writes in 10 s", calls, writes)
+		}
+		if writes < 150 {
+			t.Errorf("only %d writes in 10 s", writes)
+		}
+	})
+}
--- /dev/null
+++ b/internal/market/plan_test.go
@@ -0,0 +1,75 @@
+package market
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"thornnotch/internal/placement"
+)
+
+func testCatalog() *Catalog {
+	return &Catalog{RigTypes: []RigType{{SKU: "g4", VCPUs: 32, Accelerators: 4, RAMGB: 256, Rate: 10, MarketPrice: 5, Halls: []string{"a", "b"}}}}
+}
+
+// TestRentingAndReturningAgree: what renting asks for, returning does not give
+// back at once, and requests end.
+func TestRentingAndReturningAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := View{Catalog: testCatalog(), Have: map[Pool]int{}, Refused: map[Pool]bool{},
+			Limits: []Limit{{"a", placement.Room{GPUs: 40}}}}
+		for range rapid.IntRange(0, 6).Draw(t, "jobs") {
+			v.Demand = append(v.Demand, Demand{Owner: "a", Pieces: rapid.IntRange(1, 30).Draw(t, "pieces"),
+				Need: placement.Room{VCPUs: 1, GPUs: float64(rapid.IntRange(1, 4).Draw(t, "gpus")), RAM: 1}, Spot: rapid.Bool().Draw(t, "spot")})
+		}
+		for _, z := range []string{"a", "b"} {
+			v.Refused[Pool{"g4", z, true}] = rapid.Bool().Draw(t, "refused")
+		}
+		spare := rapid.Float64Range(0, 3).Draw(t, "spare")
+		steps := 0
+		for r, ok := Next(v, spare); ok; r, ok = Next(v, spare) {
+			if v.Refused[Pool{r.RigType, r.Hall, r.Loaners}] || r.Count < 1 {
+				t.Fatalf("asked for %+v", r)
+			}
+			v.Have[Pool{r.RigType, r.Hall, r.Loaners}] += r.Count
+			if steps++; steps > 20 {
+				t.Fatal("asks for ever")
+			}
+		}
+		total := 0
+		var idle []Idle
+		for p, n := range v.Have {
+			total += n
+			for i := range n {
+				idle = append(idle, Idle{Name: p.Zone + string(rune('a'+i)), Pool: p})
+			}
+		}
+		// 40 GPUs fill 10 machines, or as many as tasks when one takes a
+		// machine; the root of that is the spare.
+		if total > 80 {
+			t.Fatalf("%d machines for a limit of 40 GPUs", total)
+		}
+		want := map[string]Want{"g4": Wants(v, v.Catalog.RigTypes[0], spare)}
+		if names := Surplus(v, want, idle); len(names) > 0 {
+			t.Fatalf("rented and returned: %v", names)
+		}
+		v.Demand = nil
+		if names := Surplus(v, map[string]Want{"g4": Wants(v, v.Catalog.RigTypes[0], spare)}, idle); len(names) != len(idle) {
+			t.Fatalf("%d of %d returned with nothing to do", len(names), len(idle))
+		}
+	})
+}
+
+// TestMemoryForgets: the greatest want of the window holds, and no longer.
+func TestMemoryForgets(t *testing.T) {
+	m := NewMemory(40 * time.Second)
+	t0 := time.Unix(1000, 0)
+	m.Note(t0, map[string]Want{"g4": {All: 9}})
+	if got := m.Note(t0.Add(30*time.Second), map[string]Want{"g4": {All: 2}}); got["g4"].All != 9 {
+		t.Errorf("forgot early: %v", got)
+	}
+	if got := m.Note(t0.Add(60*time.Second), map[string]Want{"g4": {All: 1}}); got["g4"].All != 2 {
+		t.Errorf("remembers for ever: %v", got)
+	}
+}
