--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -106,21 +106,30 @@
 }
 
 // targets are the latest starts at which a job still meets its users' aims. A
-// class without aims goes by the job's own due time.
+// class without aims goes by the job's own due time. The image may have to be
+// fetched first.
 func (l *Leader) targets(spec *intake.Job) (out []time.Duration) {
+	fetch := 0.0
+	if cat := l.d.Catalog(); cat != nil {
+		for _, t := range cat.RigTypes {
+			if t.PullGBPerS > 0 {
+				fetch = max(fetch, spec.ImageGB/t.PullGBPerS)
+			}
+		}
+	}
 	for _, o := range l.d.Settings.Params.Objectives {
 		if o.Class != spec.Workload {
 			continue
 		}
 		switch o.Kind {
 		case "wait":
-			out = append(out, config.Seconds(o.WithinS))
+			out = append(out, config.Seconds(o.WithinS-fetch))
 		case "finished":
-			out = append(out, config.Seconds(o.WithinS-spec.ExpectS))
+			out = append(out, config.Seconds(o.WithinS-spec.ExpectS-fetch))
 		}
 	}
 	if len(out) == 0 && spec.DueS != nil {
-		out = append(out, config.Seconds(*spec.DueS-spec.ExpectS))
+		out = append(out, config.Seconds(*spec.DueS-spec.ExpectS-fetch))
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i] < out[k] })
 	return out
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -40,6 +40,7 @@
 		}
 	}
 	sort.Slice(w.Jobs, func(i, j int) bool { return Before(w.Jobs[i], w.Jobs[j]) })
+	p.keepClaims()
 	for _, j := range w.Jobs {
 		if j.Blocked || len(j.Waiting) == 0 || w.Teams[j.Spec.Owner] == nil {
 			continue
@@ -117,7 +118,32 @@
 }
 
 func (p *pass) usable(j *Job, r *Rig) bool {
-	return r.Open && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == "" || r.claimed == j.Spec.NameID)
+	return r.Open && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || outranks(j, r.claimed))
+}
+
+// outranks tells whether a job stands above another whatever the time.
+func outranks(a, b *Job) bool {
+	return a.Priority > b.Priority || a.Priority == b.Priority && a.Guaranteed && !b.Guaranteed
+}
+
+// keepClaims renews the claims of gangs that still wait. A machine that drains
+// for a gang must not be filled again by the small tasks of whichever job has
+// less time left at the moment, or it never comes to be empty.
+func (p *pass) keepClaims() {
+	byName := make(map[string]*Rig, len(p.Rigs))
+	for _, r := range p.Rigs {
+		byName[r.Name] = r
+	}
+	for _, j := range p.Jobs {
+		if j.Spec.Shape != "gang" || len(j.Waiting) == 0 || j.Blocked {
+			continue
+		}
+		for name := range j.Claims {
+			if r := byName[name]; r != nil && r.claimed == nil && r.Open {
+				r.claimed = j
+			}
+		}
+	}
 }
 
 // delay estimates how long a task would wait for its image on the machine.
@@ -375,7 +401,7 @@
 	}
 	var options []option
 	for _, r := range p.Rigs {
-		if !p.usable(j, r) || r.claimed != "" || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
+		if !p.usable(j, r) || r.claimed != nil && r.claimed != j || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
 			continue
 		}
 		f := r.free(j)
@@ -453,7 +479,10 @@
 	}
 	for _, o := range options {
 		if n <= 0 {
-			return
+			if o.rig.claimed == j {
+				o.rig.claimed = nil // a better one has taken its place
+			}
+			continue
 		}
 		if o.coming == 0 && !gang {
 			// A task of a sweep takes any room that comes free; only whole
@@ -472,7 +501,7 @@
 			p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
 		}
 		if gang || len(o.victim) > 0 {
-			o.rig.claimed = j.Spec.NameID
+			o.rig.claimed = j
 			p.plan.Claims = append(p.plan.Claims, Claim{j, o.rig})
 		}
 		n -= max(1, o.coming)
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -113,7 +113,7 @@
 	Speed float64
 
 	used    Room
-	claimed string // waiting job that this machine is kept for, in this pass
+	claimed *Job // waiting job that this machine is kept for
 	rank    int
 }
 
