--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -101,6 +101,7 @@
 		j.view.Submitted = at
 	}
 	l.jobs[name] = j
+	l.arrivals[spec.Workload]++
 	l.dirty = true
 	l.d.Log.Debug("job", "id", name, "owner", spec.Owner, "workload", spec.Workload, "pieces", spec.Pieces)
 }
@@ -135,6 +136,18 @@
 	return out
 }
 
+// share is how many jobs of a class come, against the most frequent class.
+func (l *Leader) share(class string) float64 {
+	most := 0.0
+	for _, n := range l.arrivals {
+		most = max(most, n)
+	}
+	if most <= 0 {
+		return 1
+	}
+	return max(l.arrivals[class], 0) / most
+}
+
 // jobGone is called when a job's record has left the open ones: this leader
 // has finished it, or its user has cancelled it.
 func (l *Leader) jobGone(name string, now time.Time) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -91,6 +91,8 @@
 	finished map[string]bool
 	// ghosts are jobs that are over while attempts of them may still run.
 	ghosts map[string]ghost
+	// arrivals counts the jobs of each class, older ones for less.
+	arrivals map[string]float64
 }
 
 // New makes a leader for the granted term. Run must be called next.
@@ -105,6 +107,7 @@
 		certainty: max(config.Seconds(w.CancelS-w.LeaseS)-tuning.CertaintyMargin, time.Second),
 		finished:  make(map[string]bool),
 		ghosts:    make(map[string]ghost),
+		arrivals:  make(map[string]float64),
 	}
 	l.committer.init()
 	l.market.init()
@@ -346,6 +349,9 @@
 
 // tick does what only time brings about.
 func (l *Leader) tick(now time.Time) {
+	for class := range l.arrivals {
+		l.arrivals[class] *= 1 - tuning.TickEvery.Seconds()/tuning.ArrivalMemory.Seconds()
+	}
 	for _, r := range l.sortedRigs() {
 		if ev := r.m.CheckLease(l.grant.Term, l.lease, now); len(ev) > 0 {
 			l.d.Log.Info("machine lost", "rig", r.m.Name, "tasks", len(ev))
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -144,7 +144,7 @@
 func (l *Leader) show(j *job, now time.Time) {
 	v := &j.view
 	v.Waiting = v.Waiting[:0]
-	v.Weigh(now)
+	v.Weigh(now, l.share(j.spec.Workload))
 	v.Blocked = now.Before(j.notBefore)
 	v.Zones = make(map[string]int)
 	for _, seats := range j.seats {
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -240,7 +240,7 @@
 	job := func(id string, age time.Duration, targets ...time.Duration) *Job {
 		j := sweepJob(id, "a", 1)
 		j.Submitted, j.Targets = now.Add(-age), targets
-		j.Weigh(now)
+		j.Weigh(now, 1)
 		return j
 	}
 	tight := job("j-1", 10*time.Second, 50*time.Second)
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -143,11 +143,15 @@
 // whoever must start soonest to meet an aim goes first. A job that has missed
 // all its aims would only make others miss theirs, so it stands behind them,
 // but moves up with its age and is not passed over for ever.
-func (j *Job) Weigh(now time.Time) {
+//
+// The users' aims are shares of each class's jobs, so a missed aim weighs the
+// more, the fewer jobs its class has. share is the class's part of the jobs,
+// against that of the most frequent class; it shortens the time left.
+func (j *Job) Weigh(now time.Time, share float64) {
 	age := now.Sub(j.Submitted)
 	for _, t := range j.Targets {
 		if t > age {
-			j.Late, j.Slack = false, t-age
+			j.Late, j.Slack = false, time.Duration(float64(t-age)*share)
 			return
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,6 +116,8 @@
 	// (protocol); EarlyStop is the extra cost of stopping it before.
 	StartCounts = 30 * time.Second
 	EarlyStop   = 5 * time.Second
+	// ArrivalMemory is how far back the jobs of each class are counted.
+	ArrivalMemory = 5 * time.Minute
 	// SummaryEvery is the time between two summaries in the debug log.
 	SummaryEvery = 5 * time.Second
 	// NoticeGrace is the remaining notice below which a machine that is
