--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -165,7 +165,7 @@
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
 	// and keep: machines beside those that the demand fills, in units of the
 	// square root of their number.
-	RentSpare = 1.0
+	RentSpare = 3.0
 	KeepSpare = 3.0
 )
 
