--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -154,10 +154,10 @@
 	// ReturnBatch is the largest number of names in one return.
 	ReturnBatch = 100
 	// IdleReturn is how long an unneeded machine is kept where price counts.
-	IdleReturn = 10 * time.Second
+	IdleReturn = 5 * time.Second
 	// KeepWindow is how far back demand is remembered before machines are
 	// given back.
-	KeepWindow = 20 * time.Second
+	KeepWindow = 10 * time.Second
 	// OverflowWorth times the spot price, by the ordinary price, is the part
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
