--- a/internal/market/plan.go
+++ b/internal/market/plan.go
@@ -96,13 +96,9 @@
 }
 
 // Want is how many machines of one type are wanted: ordinary ones for what
-// can't run elsewhere, and all together.
-type Want struct {
-	Ordinary, All float64
-	// Spot is the present demand that spot machines could take, Overflow the
-	// part of what they can't be had for that ordinary ones stand in for.
-	Spot, Overflow float64
-}
+// can't run elsewhere, all together, and how many of these may be ordinary
+// ones that only stand in for spot machines.
+type Want struct{ Ordinary, All, Overflow float64 }
 
 // Wants adds spare machines to the present demand. Demand comes in jobs, at
 // random: how far it strays from its mean grows with the square root of it,
@@ -115,15 +111,15 @@
 	if t.Rate > 0 && t.MarketPrice > 0 {
 		part = min(1, tuning.OverflowWorth*t.MarketPrice/t.Rate)
 	}
-	w := Want{Ordinary: math.Ceil(ordinary + spare*part*math.Sqrt(ordinary)), Spot: spot, Overflow: part}
+	w := Want{Ordinary: math.Ceil(ordinary + spare*part*math.Sqrt(ordinary)), Overflow: part}
 	w.All = w.Ordinary + math.Ceil(spot+spare*math.Sqrt(spot))
 	return w
 }
 
 // overflow is how many ordinary machines are wanted in place of spot ones, of
-// which there are this many. Spare is not worth that.
+// which there are this many.
 func (w Want) overflow(spot int) int {
-	return int(math.Ceil(max(0, w.Spot-float64(spot)) * w.Overflow))
+	return int(math.Ceil(max(0, w.All-w.Ordinary-float64(spot)) * w.Overflow))
 }
 
 // have counts the machines of a type, by kind.
@@ -248,7 +244,7 @@
 	most := make(map[string]Want)
 	for _, s := range m.samples {
 		for sku, w := range s.want {
-			most[sku] = Want{max(most[sku].Ordinary, w.Ordinary), max(most[sku].All, w.All), max(most[sku].Spot, w.Spot), w.Overflow}
+			most[sku] = Want{max(most[sku].Ordinary, w.Ordinary), max(most[sku].All, w.All), w.Overflow}
 		}
 	}
 	return most
