--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -103,19 +103,50 @@
 	return max(time.Duration(l.d.Settings.Params.Cloud.ListLagS*float64(time.Second)), 3*time.Second)
 }
 
+// silent is how long nothing has been heard of the machine in this term.
+func (r *rig) silent(now time.Time) time.Duration {
+	if !r.m.Known {
+		return now.Sub(r.since)
+	}
+	return now.Sub(r.m.Heard)
+}
+
+// darkZones are the zones most of whose machines have fallen silent. Machines
+// die one by one; a zone that goes dark is cut off, and comes back with all its
+// machines and their images. Giving them all up for others that must boot and
+// fetch anew, in a zone that can't be reached, is the worst answer to a cut.
+func (l *Leader) darkZones(now time.Time) map[string]bool {
+	all, silent := make(map[string]int), make(map[string]int)
+	for _, r := range l.rigs {
+		if r.leaving {
+			continue
+		}
+		all[r.m.Zone]++
+		if r.silent(now) > l.lease {
+			silent[r.m.Zone]++
+		}
+	}
+	dark := make(map[string]bool)
+	for z, n := range silent {
+		dark[z] = n >= tuning.DarkLeast && 2*n > all[z]
+	}
+	return dark
+}
+
 // retireRigs marks machines that must be returned as leaving.
 func (l *Leader) retireRigs(now time.Time) {
+	dark := l.darkZones(now)
 	for _, r := range l.rigs {
 		if r.leaving {
 			continue
 		}
 		why := ""
-		silent := now.Sub(r.m.Heard)
-		if !r.m.Known {
-			silent = now.Sub(r.since)
+		patience := tuning.SilentReturn
+		if dark[r.m.Zone] {
+			patience = tuning.DarkReturn
 		}
 		switch {
-		case silent > l.lease+tuning.SilentReturn:
+		case r.silent(now) > l.lease+patience:
 			why = "silent"
 		case r.faulty() && len(r.m.Attempts) == 0:
 			why = "faulty"
@@ -302,10 +333,20 @@
 func (l *Leader) marketView(now time.Time) market.View {
 	v := market.View{Catalog: l.d.Catalog(), Have: make(map[market.Pool]int), Refused: make(map[market.Pool]bool)}
 	for _, r := range l.rigs {
-		if !r.leaving && !r.faulty() && r.m.Recall.IsZero() {
+		// A silent machine is not counted on: it is replaced before it is
+		// given up.
+		if !r.leaving && !r.faulty() && r.m.Recall.IsZero() && r.silent(now) <= l.lease {
 			v.Have[r.pool()]++
 		}
 	}
+	for z, is := range l.darkZones(now) {
+		for _, t := range v.Catalog.RigTypes {
+			if is {
+				v.Refused[market.Pool{Type: t.SKU, Zone: z}] = true
+				v.Refused[market.Pool{Type: t.SKU, Zone: z, Spot: true}] = true
+			}
+		}
+	}
 	for _, b := range l.market.booting {
 		v.Have[b.pool]++
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -148,6 +148,10 @@
 	// SilentReturn is how long past its lease a machine may stay silent
 	// before it is returned: long enough for a short cut to heal.
 	SilentReturn = 25 * time.Second
+	// DarkReturn is the same when most of a zone is silent, which is a cut and
+	// not the end of its machines; DarkLeast is how many that takes.
+	DarkReturn = 90 * time.Second
+	DarkLeast  = 3
 	// BootPatience times the catalog's boot time is how long a machine may
 	// take to report before it is returned.
 	BootPatience = 3.0
