--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -258,7 +258,7 @@
 	for _, e := range list {
 		a := e.Attempt
 		j := l.jobs[a.ID.Task.Job]
-		l.noteImage(r, j, a)
+		l.noteImage(r, j, a, now)
 		switch e.Why {
 		case fleet.Alien:
 			if a.Status == fleet.Exited {
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,198 @@
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/market"
+	"thornnotch/internal/term"
+	"thornnotch/internal/tuning"
+)
+
+func testLeader(t *testing.T) *Leader {
+	t.Helper()
+	set := &config.Settings{Params: config.Params{Teams: []config.Team{{Name: "a", GPUs: 8, GPUsMax: 16}},
+		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 37, GangPeerS: 8, GangWaitS: 30},
+		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 2, ListLagS: 5}}}
+	cat := &market.Catalog{RigTypes: []market.RigType{{SKU: "g4", VCPUs: 32, Accelerators: 4, RAMGB: 256, CacheGB: 80, PullGBPerS: 1,
+		Rate: 10, MarketPrice: 5, ReadyS: 25, Halls: []string{"east", "west"}}}}
+	l := New(Deps{Settings: set, Operator: config.DefaultOperator(), Catalog: func() *market.Catalog { return cat },
+		Log: slog.New(slog.DiscardHandler)}, term.Grant{Term: 3, Stamp: 7})
+	l.loaded = true
+	return l
+}
+
+// addRig gives the leader a machine that has just reported.
+func addRig(l *Leader, name, zone string, now time.Time) *rig {
+	r := l.rig(name, now)
+	r.m.Observe(&fleet.Report{Rig: name, RigType: "g4", Hall: zone, Shift: 1, Tick: 1, Warrant: l.grant.Term}, l.grant.Term, false, now)
+	r.m.Answered = now
+	return r
+}
+
+// TestDarkZoneIsWaitedFor guards against an incident: a zone was cut off for
+// 45 s, and all its machines were given up after 37.
+func TestDarkZoneIsWaitedFor(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	l := testLeader(t)
+	for i := range 4 {
+		addRig(l, fmt.Sprint("m-e", i), "east", t0)
+		addRig(l, fmt.Sprint("m-w", i), "west", t0)
+	}
+	now := t0.Add(l.lease + tuning.SilentReturn + time.Second)
+	for i := range 4 {
+		l.rigs[fmt.Sprint("m-w", i)].m.Heard = now
+	}
+	l.rigs["m-w0"].m.Heard = t0 // one machine of the other zone died
+	l.retireRigs(now)
+	for name, r := range l.rigs {
+		if want := name == "m-w0"; r.leaving != want {
+			t.Errorf("%s: leaving %v, want %v", name, r.leaving, want)
+		}
+	}
+	v := l.marketView(now)
+	if !v.Refused[market.Pool{Type: "g4", Zone: "east"}] || v.Refused[market.Pool{Type: "g4", Zone: "west"}] {
+		t.Errorf("renting in a zone that can't be reached: %v", v.Refused)
+	}
+	if n := v.Have[market.Pool{Type: "g4", Zone: "east"}]; n != 0 {
+		t.Errorf("%d silent machines are counted on", n)
+	}
+	l.retireRigs(t0.Add(l.lease + tuning.DarkReturn + time.Second))
+	if !l.rigs["m-e0"].leaving {
+		t.Errorf("a zone that stays dark is never given up")
+	}
+}
+
+// addJob gives the leader an accepted job.
+func addJob(t *testing.T, l *Leader, j intake.Job, now time.Time) *job {
+	t.Helper()
+	raw, err := json.Marshal(intake.Record{Job: j, AtMS: now.UnixMilli()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.addJob(intake.OpenPrefix+j.NameID, raw, uint64(len(l.jobs)+1), now)
+	return l.jobs[j.NameID]
+}
+
+func sweep(id string, pieces int) intake.Job {
+	return intake.Job{NameID: id, Workload: "x", Owner: "a", Shape: intake.Sweep, Urgency: "standard", Pieces: pieces,
+		VCPUs: 1, Accelerators: 1, RAMGB: 1, Bundle: "img", ImageGB: 5, Loaners: true, ExpectS: 30, SnapshotS: 5, StashS: 1}
+}
+
+// report makes a worker's next report with these tasks in this state.
+func report(l *Leader, r *rig, status, cause string) *fleet.Report {
+	rep := &fleet.Report{Rig: r.m.Name, RigType: r.m.Type, Hall: r.m.Zone, Shift: r.m.Shift, Tick: r.m.Tick + 1, Warrant: l.grant.Term}
+	for _, a := range r.m.Sorted() {
+		rep.Pieces = append(rep.Pieces, fleet.Piece{Piece: a.ID.Task.String(), Try: a.ID.Try, Status: status, Cause: cause})
+	}
+	return rep
+}
+
+// settle carries out what the leader wants to record, as the state service
+// would, and returns the epoch.
+func settle(l *Leader, epoch uint64, now time.Time) uint64 {
+	for {
+		entries := l.collect(now)
+		if len(entries) == 0 {
+			return epoch
+		}
+		epoch++
+		l.committed(entries, epoch, nil, nil)
+	}
+}
+
+// TestStartsFollowTheirRecord walks one job through placement, record, start,
+// end and completion: no order leaves before the record it needs.
+func TestStartsFollowTheirRecord(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	r := addRig(l, "m-1", "east", now)
+	j := addJob(t, l, sweep("j-1", 2), now)
+	l.pass(now)
+	if len(j.seats) != 2 || len(r.m.Orders(true)) != 0 {
+		t.Fatalf("%d placed, %d orders before the record", len(j.seats), len(r.m.Orders(true)))
+	}
+	epoch := settle(l, 100, now)
+	if got := r.m.Orders(true); len(got) != 2 || got[0].Verb != fleet.Run {
+		t.Fatalf("after the record: %v", got)
+	}
+	l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	if len(r.images) != 1 || !r.images[0].have || r.due.IsZero() {
+		t.Errorf("the image is not noted for the next leader")
+	}
+	l.observe(r, report(l, r, fleet.Exited, fleet.CauseDone), false, now)
+	if !j.closing || len(r.m.Orders(true)) != 0 {
+		t.Fatalf("closing %v, orders %v before completion is recorded", j.closing, r.m.Orders(true))
+	}
+	settle(l, epoch, now)
+	if got := r.m.Orders(true); len(got) != 2 || got[0].Verb != fleet.Forget {
+		t.Fatalf("after completion: %v", got)
+	}
+	if l.jobs["j-1"] != nil {
+		t.Errorf("the job is still open")
+	}
+}
+
+// TestCancelledTasksStillCount: a cancelled job's tasks count for their team
+// until they are proven gone, also for the next leader.
+func TestCancelledTasksStillCount(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	r := addRig(l, "m-1", "east", now)
+	addJob(t, l, sweep("j-1", 3), now)
+	l.pass(now)
+	settle(l, 100, now)
+	r.m.Orders(true)
+	l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	l.tasks = nil
+	l.jobGone("j-1", now)
+	w, _ := l.world(now)
+	if got := w.Teams["a"].Used.GPUs; got != 3 {
+		t.Errorf("%v GPUs in use after the cancellation, want 3", got)
+	}
+	rec := l.record(r)
+	if len(rec.Attempts) != 3 || rec.Jobs["j-1"].Owner != "a" || rec.Jobs["j-1"].Room.room().GPUs != 1 {
+		t.Errorf("the record does not carry them: %+v", rec)
+	}
+	l.observe(r, report(l, r, fleet.Exited, "halted"), false, now)
+	if w, _ = l.world(now); w.Teams["a"].Used.GPUs != 0 {
+		t.Errorf("they count for ever")
+	}
+}
+
+// TestLateWriteClashes: after a transaction without an answer, its keys are
+// read anew and the newest value is written.
+func TestLateWriteClashes(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	r := addRig(l, "m-1", "east", now)
+	addJob(t, l, sweep("j-1", 1), now)
+	l.pass(now)
+	first := l.collect(now)
+	l.committed(first, 0, nil, fmt.Errorf("no answer"))
+	if l.committer.backoff == 0 || len(r.m.Orders(true)) != 0 {
+		t.Fatalf("an unknown outcome counts as success")
+	}
+	l.committer.retryAt = time.Time{}
+	again := l.collect(now)
+	if len(again) != 1 || again[0].when[0].Stamp != 0 {
+		t.Fatalf("retried as %+v", again)
+	}
+	// The first try had gone through after all, at revision 55.
+	key := rigPrefix + "m-1"
+	l.committed(again, 0, map[string]uint64{key: 55}, fmt.Errorf("clash"))
+	third := l.collect(now)
+	if len(third) != 1 || third[0].when[0].Stamp != 55 || len(r.m.Orders(true)) != 0 {
+		t.Fatalf("after the clash: %+v", third)
+	}
+	l.committed(third, 60, nil, nil)
+	if len(r.m.Orders(true)) != 1 {
+		t.Errorf("the start never leaves")
+	}
+}
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -132,14 +132,23 @@
 }
 
 // noteImage follows which images are on the machine.
-func (l *Leader) noteImage(r *rig, j *job, a *fleet.Attempt) {
+func (l *Leader) noteImage(r *rig, j *job, a *fleet.Attempt, now time.Time) {
 	if j == nil {
 		return
 	}
 	have := a.Status == fleet.Waiting || a.Status == fleet.Running || a.Status == fleet.Saving ||
 		a.Status == fleet.Exited && a.Cause == fleet.CauseDone
-	if have {
-		r.touch(j.spec.Bundle, j.spec.ImageGB, true, l.cacheOf(r))
+	if !have {
+		return
+	}
+	known := false
+	for _, im := range r.images {
+		known = known || im.name == j.spec.Bundle && im.have
+	}
+	r.touch(j.spec.Bundle, j.spec.ImageGB, true, l.cacheOf(r))
+	if !known {
+		// The next leader must know too, or it fetches where it need not.
+		r.lazy(now)
 	}
 }
 
