--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -114,6 +114,9 @@
 	var conflict *ledger.Conflict
 	switch {
 	case err == nil:
+		if c.backoff > 0 {
+			l.d.Log.Info("records are written again")
+		}
 		c.backoff = 0
 		for _, e := range entries {
 			e.done(epoch, now)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -196,3 +196,24 @@
 		t.Errorf("the start never leaves")
 	}
 }
+
+// TestCloudOutageIsQuiet guards against an incident: during an outage of the
+// cloud the leader asked twice a second and logged every refusal.
+func TestCloudOutageIsQuiet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := testLeader(t)
+	calls := 0
+	for at := now; at.Before(now.Add(time.Minute)); at = at.Add(tuning.TickEvery) {
+		if at.Before(l.market.retryAt) {
+			continue
+		}
+		calls++
+		l.cloudFailed("rent", market.ErrRefused, at)
+	}
+	if calls > 20 {
+		t.Errorf("%d calls in a minute of outage", calls)
+	}
+	if l.cloudFailed("rent", nil, now) || l.market.backoff != 0 {
+		t.Errorf("an answer does not end the pause")
+	}
+}
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -25,7 +25,11 @@
 	// returned are machines given back, which lists may still show.
 	returned map[string]time.Time
 	memory   *market.Memory
-	weighed  time.Time
+	// backoff is the pause after a call that the cloud did not carry out, zero
+	// while it answers; retryAt is when the next call may go out.
+	backoff time.Duration
+	retryAt time.Time
+	weighed time.Time
 }
 
 type booting struct {
@@ -71,7 +75,7 @@
 	}
 	l.retireRigs(now)
 	l.giveUpSurplus(now)
-	if m.busy {
+	if m.busy || now.Before(m.retryAt) {
 		return
 	}
 	if names := l.returns(now); len(names) > 0 {
@@ -210,8 +214,7 @@
 		l.do(l.ctx, func() {
 			now := time.Now()
 			m.busy = false
-			if err != nil {
-				l.d.Log.Debug("return failed", "err", err)
+			if l.cloudFailed("return", err, now) {
 				return
 			}
 			for _, name := range names {
@@ -245,17 +248,36 @@
 		l.do(l.ctx, func() {
 			now := time.Now()
 			m.busy = false
-			m.listed = now
-			if err != nil {
-				l.d.Log.Debug("list failed", "err", err)
+			if l.cloudFailed("list", err, now) {
 				return
 			}
+			m.listed = now
 			l.listed(hosts, now)
 		})
 		return nil
 	})
 }
 
+// cloudFailed takes in how a call to the cloud went. While the cloud does not
+// answer, calls go out ever more seldom, and the log tells only when that
+// begins and ends.
+func (l *Leader) cloudFailed(call string, err error, now time.Time) bool {
+	m := &l.market
+	if err == nil {
+		if m.backoff > 0 {
+			l.d.Log.Info("the cloud answers again")
+		}
+		m.backoff = 0
+		return false
+	}
+	if m.backoff == 0 {
+		l.d.Log.Info("the cloud does not answer", "call", call, "err", err)
+	}
+	m.backoff = min(max(2*m.backoff, tuning.CloudBackoffMin), tuning.CloudBackoffMax)
+	m.retryAt = now.Add(m.backoff)
+	return true
+}
+
 // listed takes in the cloud's list. It lags and may go backwards: what is
 // absent from it proves nothing.
 func (l *Leader) listed(hosts []market.Host, now time.Time) {
@@ -300,10 +322,9 @@
 			m.busy = false
 			switch {
 			case errors.Is(err, market.ErrNoCapacity):
+				l.cloudFailed("rent", nil, now)
 				m.refused[pool] = now.Add(tuning.RefusedPause)
-			case err != nil:
-				m.refused[pool] = now.Add(tuning.RefusedPause / 4)
-				l.d.Log.Info("renting failed", "err", err)
+			case l.cloudFailed("rent", err, now):
 			default:
 				l.d.Log.Info("rented", "type", pool.Type, "zone", pool.Zone, "spot", pool.Spot, "asked", req.Count, "got", len(names))
 				for _, name := range names {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -138,6 +138,10 @@
 const (
 	// CloudTimeout bounds one request to the cloud.
 	CloudTimeout = 4 * time.Second
+	// CloudBackoffMin and CloudBackoffMax bound the pause after a call that the
+	// cloud did not carry out.
+	CloudBackoffMin = 500 * time.Millisecond
+	CloudBackoffMax = 4 * time.Second
 	// CatalogEvery refreshes prices.
 	CatalogEvery = 60 * time.Second
 	// RentBatch is the largest number of machines in one request.
