--- a/internal/market/plan.go
+++ b/internal/market/plan.go
@@ -109,7 +109,7 @@
 	ordinary, spot := Targets(v, t)
 	part := 1.0
 	if t.Rate > 0 && t.MarketPrice > 0 {
-		part = min(1, math.Pow(tuning.OverflowWorth*t.MarketPrice/t.Rate, tuning.PriceWeight))
+		part = min(1, tuning.OverflowWorth*t.MarketPrice/t.Rate)
 	}
 	w := Want{Ordinary: math.Ceil(ordinary + spare*part*math.Sqrt(ordinary)), Overflow: part}
 	w.All = w.Ordinary + math.Ceil(spot+spare*math.Sqrt(spot))
