--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -53,7 +53,7 @@
 // DefaultOperator is what holds without a file.
 func DefaultOperator() Operator {
 	return Operator{
-		Holds:   HoldSettings{Enabled: false, Alpha: tuning.HoldAlpha, P: tuning.HoldP, Threshold: tuning.HoldThreshold},
+		Holds:   HoldSettings{Enabled: true, Alpha: tuning.HoldAlpha, P: tuning.HoldP, Threshold: tuning.HoldThreshold},
 		Budgets: BudgetSettings{LeaderShare: tuning.LeaderShare, Use: tuning.BudgetUse},
 		Renting: RentSettings{Spare: tuning.RentSpare, Keep: tuning.KeepSpare},
 	}
