--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -130,7 +130,7 @@
 	// HoldAlpha, HoldP and HoldThreshold are the defaults of the operator
 	// settings alpha, p and threshold (paper, section IV).
 	HoldAlpha     = 1.6
-	HoldP         = 0.2
+	HoldP         = 0.8
 	HoldThreshold = 0.8
 )
 
