--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -129,8 +129,8 @@
 const (
 	// HoldAlpha, HoldP and HoldThreshold are the defaults of the operator
 	// settings alpha, p and threshold (paper, section IV).
-	HoldAlpha     = 1.6
-	HoldP         = 0.8
+	HoldAlpha     = 1.2
+	HoldP         = 0.4
 	HoldThreshold = 0.8
 )
 
