--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -129,7 +129,7 @@
 const (
 	// HoldAlpha, HoldP and HoldThreshold are the defaults of the operator
 	// settings alpha, p and threshold (paper, section IV).
-	HoldAlpha     = 1.2
+	HoldAlpha     = 2.5
 	HoldP         = 0.4
 	HoldThreshold = 0.8
 )
