--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -129,15 +129,19 @@
 const (
 	// HoldAlpha, HoldP and HoldThreshold are the defaults of the operator
 	// settings alpha, p and threshold (paper, section IV).
-	HoldAlpha     = 2.5
+	HoldAlpha     = 1.6
 	HoldP         = 0.4
-	HoldThreshold = 0.8
+	HoldThreshold = 0.5
 )
 
 // Cloud.
 const (
 	// CloudTimeout bounds one request to the cloud.
 	CloudTimeout = 4 * time.Second
+	// CloudBackoffMin and CloudBackoffMax bound the pause after a call that the
+	// cloud did not carry out.
+	CloudBackoffMin = 500 * time.Millisecond
+	CloudBackoffMax = 4 * time.Second
 	// CatalogEvery refreshes prices.
 	CatalogEvery = 60 * time.Second
 	// RentBatch is the largest number of machines in one request.
