--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -131,7 +131,7 @@
 	// settings alpha, p and threshold (paper, section IV).
 	HoldAlpha     = 1.6
 	HoldP         = 0.4
-	HoldThreshold = 0.5
+	HoldThreshold = 0.95
 )
 
 // Cloud.
@@ -170,6 +170,9 @@
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
 	OverflowWorth = 2
+	// PriceWeight is the power that this ratio is taken to: how fast an
+	// ordinary machine loses its worth as it gets dearer.
+	PriceWeight = 3.0
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
 	// and keep: machines beside those that the demand fills, in units of the
 	// square root of their number.
