--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -131,7 +131,7 @@
 	// settings alpha, p and threshold (paper, section IV).
 	HoldAlpha     = 1.6
 	HoldP         = 0.4
-	HoldThreshold = 0.95
+	HoldThreshold = 0.8
 )
 
 // Cloud.
