--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -170,9 +170,6 @@
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
 	OverflowWorth = 2
-	// PriceWeight is the power that this ratio is taken to: how fast an
-	// ordinary machine loses its worth as it gets dearer.
-	PriceWeight = 3.0
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
 	// and keep: machines beside those that the demand fills, in units of the
 	// square root of their number.
