--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -40,6 +40,11 @@
 	// to start.
 	placed bool
 
+	pace pace
+	// again are the tasks that have run in part already, whose last run tells
+	// nothing of the whole.
+	again map[int]bool
+
 	failures  int
 	notBefore time.Time
 	avoid     map[string]time.Time
@@ -95,6 +100,7 @@
 		spec: &spec, stamp: stamp, seen: now,
 		did: make(bitset, (spec.Pieces+7)/8), safe: make(bitset, (spec.Pieces+7)/8),
 		stamps: make(map[int]uint64), seats: make(map[int][]seat), avoid: make(map[string]time.Time),
+		again: make(map[int]bool),
 	}
 	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now, Targets: l.targets(&spec)}
 	if at := time.UnixMilli(rec.AtMS); rec.AtMS > 0 && at.Before(now) {
@@ -278,6 +284,9 @@
 				j.started = now
 			}
 		case fleet.Gone:
+			if j != nil {
+				j.again[a.ID.Task.Index] = true
+			}
 			l.vacate(r, a)
 			r.lazy(now)
 			l.lost(j, now)
@@ -319,6 +328,7 @@
 			l.d.Log.Info("machine taken for faulty", "rig", r.m.Name)
 		}
 	case "alone", "mates_gone", "halted":
+		j.again[a.ID.Task.Index] = true
 	default:
 		// Refused: the worker knows better than our books; look again soon.
 		j.notBefore = now.Add(tuning.RetryBase)
@@ -331,6 +341,7 @@
 // record stands.
 func (l *Leader) finish(r *rig, j *job, a *fleet.Attempt, now time.Time) {
 	first := !j.did.has(a.ID.Task.Index)
+	l.notePace(r, j, a, now)
 	if j.spec.Shape == intake.Gang {
 		// A gang's tasks complete together: one done, all done.
 		for i := 0; i < j.spec.Pieces; i++ {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -217,3 +217,38 @@
 		t.Errorf("an answer does not end the pause")
 	}
 }
+
+// TestSlowMachine: a machine whose tasks take much longer than their siblings
+// elsewhere loses them to others; ordinary differences do not count.
+func TestSlowMachine(t *testing.T) {
+	t0 := time.Now()
+	l := testLeader(t)
+	bad := addRig(l, "m-bad", "east", t0)
+	j := addJob(t, l, sweep("j-1", 6), t0)
+	for i := range 2 {
+		a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: "j-1", Index: i}, Try: uint64(i + 1)}, Shift: 1,
+			Committed: true, Cleared: true, Sent: true, Status: fleet.Running, RanAt: t0}
+		bad.m.Attempts[a.ID] = a
+		l.occupy(bad, a)
+	}
+	for _, s := range []int{24, 30, 35} {
+		j.pace.add(time.Duration(s) * time.Second)
+	}
+	l.checkPace(t0.Add(45 * time.Second))
+	if bad.slow(t0.Add(45 * time.Second)) {
+		t.Fatalf("half as long again is taken for slow")
+	}
+	now := t0.Add(55 * time.Second)
+	l.checkPace(now)
+	if !bad.slow(now) || bad.open(now) {
+		t.Fatalf("a slow machine is not found")
+	}
+	for _, a := range bad.m.Sorted() {
+		if !a.Halt || a.Grace < j.spec.StashS {
+			t.Errorf("%v is not saved and stopped", a.ID)
+		}
+	}
+	if !bad.open(now.Add(tuning.SlowPause + time.Second)) {
+		t.Errorf("it gets no second chance")
+	}
+}
--- /dev/null
+++ b/internal/leader/pace.go
@@ -0,0 +1,115 @@
+package leader
+
+import (
+	"sort"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/tuning"
+)
+
+// A machine may come to run its tasks much slower than others. Reports tell no
+// progress and owners' estimates are often wrong by half, so what shows it is
+// the comparison with the other tasks of the same job. The paper runs a second
+// copy of a slow task (section IV-C), which the protocol forbids; here the
+// tasks of a machine that is found slow are saved, stopped and started
+// elsewhere, and the machine gets no new ones for a while.
+
+// pace is what a job's finished tasks tell of its run time.
+type pace struct{ runs []time.Duration }
+
+// add takes in a finished task's run time.
+func (p *pace) add(ran time.Duration) {
+	if len(p.runs) >= tuning.PaceRuns {
+		p.runs = p.runs[1:]
+	}
+	p.runs = append(p.runs, ran)
+}
+
+// typical is the middle run time, once enough of the job's tasks are done: the
+// first finishers are its shortest tasks.
+func (p *pace) typical(pieces int) (time.Duration, bool) {
+	if len(p.runs) < tuning.PaceLeast || 2*len(p.runs) < min(pieces, tuning.PaceRuns) {
+		return 0, false
+	}
+	s := append([]time.Duration(nil), p.runs...)
+	sort.Slice(s, func(i, j int) bool { return s[i] < s[j] })
+	return s[len(s)/2], true
+}
+
+// suspicion is how strongly a task's run time so far speaks against its
+// machine: 0 for nothing out of the ordinary, 2 for a clear case.
+func (p *pace) suspicion(ran time.Duration, pieces int) int {
+	typical, ok := p.typical(pieces)
+	if !ok || typical <= 0 {
+		return 0
+	}
+	switch r := float64(ran) / float64(typical); {
+	case r > tuning.SlowClear:
+		return 2
+	case r > tuning.SlowLikely:
+		return 1
+	}
+	return 0
+}
+
+// slow tells whether the machine is kept from new tasks for slowness.
+func (r *rig) slow(now time.Time) bool { return now.Before(r.slowUntil) }
+
+// checkPace looks for slow machines and takes their tasks elsewhere.
+func (l *Leader) checkPace(now time.Time) {
+	for _, r := range l.sortedRigs() {
+		if r.slow(now) || r.leaving {
+			continue
+		}
+		marks := r.slowMarks[:0]
+		for _, at := range r.slowMarks {
+			if now.Sub(at) < tuning.SlowMemory {
+				marks = append(marks, at)
+			}
+		}
+		r.slowMarks = marks
+		sum := len(marks)
+		for _, a := range r.m.Attempts {
+			j := l.jobs[a.ID.Task.Job]
+			if j == nil || j.spec.Shape == intake.Gang || a.Status != fleet.Running || a.RanAt.IsZero() {
+				continue
+			}
+			sum += j.pace.suspicion(now.Sub(a.RanAt), j.spec.Pieces)
+		}
+		if sum < tuning.SlowProof {
+			continue
+		}
+		r.slowTimes++
+		pause := min(tuning.SlowPause<<min(r.slowTimes-1, 4), tuning.SlowPauseMax)
+		r.slowUntil = now.Add(pause)
+		r.slowMarks = nil
+		l.d.Log.Info("machine is slow", "rig", r.m.Name, "zone", r.m.Zone, "spared_s", pause.Seconds())
+		for _, a := range r.m.Sorted() {
+			j := l.jobs[a.ID.Task.Job]
+			if j == nil || j.spec.Shape == intake.Gang || a.Halt || !a.Live() {
+				continue
+			}
+			// A task that can't save would lose more than it wins.
+			if a.Status == fleet.Running && j.spec.SnapshotS <= 0 {
+				continue
+			}
+			l.halt(r, a, j.spec.StashS+tuning.StopGrace.Seconds(), now)
+		}
+		l.press(r, now)
+		l.dirty = true
+	}
+}
+
+// notePace takes in a finished task.
+func (l *Leader) notePace(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+	if a.RanAt.IsZero() || j.spec.Shape == intake.Gang || j.again[a.ID.Task.Index] {
+		return
+	}
+	ran := now.Sub(a.RanAt)
+	for range j.pace.suspicion(ran, j.spec.Pieces) {
+		r.slowMarks = append(r.slowMarks, now)
+	}
+	j.pace.add(ran)
+}
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -39,7 +39,11 @@
 	idleSince   time.Time
 	calling     bool
 	callAgain   bool
-	speed       speedometer
+	// slowUntil is until when it gets no tasks for slowness; slowMarks are the
+	// recent signs of it, slowTimes how often it was found slow.
+	slowUntil time.Time
+	slowMarks []time.Time
+	slowTimes int
 }
 
 // waiter is a report that has not been answered yet.
@@ -81,7 +85,7 @@
 
 // open tells whether new tasks may be put on the machine.
 func (r *rig) open(now time.Time) bool {
-	return r.m.Known && !r.leaving && !r.faulty() && r.m.Recall.IsZero() && r.m.Shift > r.m.EndedShift
+	return r.m.Known && !r.leaving && !r.faulty() && r.m.Recall.IsZero() && r.m.Shift > r.m.EndedShift && !r.slow(now)
 }
 
 // record is what is written of the machine.
@@ -350,18 +354,6 @@
 	}
 }
 
-// speedometer follows how fast a machine gets through its tasks, against the
-// owners' estimates corrected by what the same class takes elsewhere.
-type speedometer struct {
-	runs  int
-	ratio float64
-}
-
-func (s *speedometer) add(ratio float64) {
-	s.runs++
-	s.ratio += (ratio - s.ratio) / float64(min(s.runs, 6))
-}
-
 // Reply is the answer to a report.
 type Reply struct {
 	Status int
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -398,6 +398,7 @@
 		return
 	}
 	m.weighed = now
+	l.checkPace(now)
 	v := l.marketView(now)
 	want := make(map[string]market.Want)
 	for _, t := range v.Catalog.RigTypes {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -144,9 +144,6 @@
 // score ranks machines for a task; lower is better.
 func (p *pass) score(r *Rig, j *Job) float64 {
 	s := r.delay(j)
-	if r.Speed > 0 {
-		s += j.Spec.ExpectS * (1/r.Speed - 1)
-	}
 	if _, n := r.heldFor(j); n > 0 {
 		s -= tuning.SpareEmpty
 	}
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -107,8 +107,6 @@
 	// fetches under way.
 	Pull     float64
 	Fetching int
-	// Speed is the measured speed against the others; 1 is usual.
-	Speed float64
 
 	used    Room
 	claimed *Job // waiting job that this machine is kept for
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -120,6 +120,27 @@
 	SummaryEvery = 5 * time.Second
 )
 
+// Slow machines.
+const (
+	// PaceRuns is the number of run times kept of a job; PaceLeast is how many
+	// must be there before they are compared.
+	PaceRuns  = 64
+	PaceLeast = 2
+	// SlowLikely and SlowClear are how many times the typical run time of its
+	// job a task must take to speak against its machine, once and twice. Tasks
+	// of one job differ by less than half, machines by a tenth.
+	SlowLikely = 1.7
+	SlowClear  = 2.3
+	// SlowProof is how many such signs make a machine slow.
+	SlowProof = 2
+	// SlowMemory is how long a finished task's sign counts.
+	SlowMemory = 60 * time.Second
+	// SlowPause is how long a slow machine gets no tasks, the first time; it
+	// doubles each time, up to SlowPauseMax.
+	SlowPause    = 45 * time.Second
+	SlowPauseMax = 5 * time.Minute
+)
+
 // Weights of a machine's score for a task, in seconds of delay that they are
 // worth.
 const (
