--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -44,6 +44,9 @@
 	// again are the tasks that have run in part already, whose last run tells
 	// nothing of the whole.
 	again map[int]bool
+	// inherited jobs were open when this term began: how long their tasks had
+	// run by then is not known, so they tell nothing of machines.
+	inherited bool
 
 	failures  int
 	notBefore time.Time
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -207,6 +207,9 @@
 	for _, row := range open {
 		l.addJob(row.K, row.V, row.Stamp, now)
 	}
+	for _, j := range l.jobs {
+		j.inherited = true
+	}
 	for _, row := range dids {
 		if err := l.loadDone(row); err != nil {
 			l.d.Log.Error("unreadable record", "key", row.K, "err", err)
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -252,3 +252,22 @@
 		t.Errorf("it gets no second chance")
 	}
 }
+
+// TestPaceNeedsWholeRuns guards against an incident: after a takeover, tasks
+// that had long been running seemed to finish early, and all others of their
+// jobs seemed slow.
+func TestPaceNeedsWholeRuns(t *testing.T) {
+	t0 := time.Now()
+	l := testLeader(t)
+	r := addRig(l, "m-1", "east", t0)
+	j := addJob(t, l, sweep("j-1", 4), t0)
+	j.inherited = true
+	old := addJob(t, l, sweep("j-2", 4), t0)
+	old.again[0] = true
+	for _, x := range []*job{j, old} {
+		l.notePace(r, x, &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: x.spec.NameID}}, RanAt: t0}, t0.Add(time.Second))
+		if len(x.pace.runs) != 0 {
+			t.Errorf("%s: a part of a run is taken for a whole one", x.spec.NameID)
+		}
+	}
+}
--- a/internal/leader/pace.go
+++ b/internal/leader/pace.go
@@ -104,7 +104,7 @@
 
 // notePace takes in a finished task.
 func (l *Leader) notePace(r *rig, j *job, a *fleet.Attempt, now time.Time) {
-	if a.RanAt.IsZero() || j.spec.Shape == intake.Gang || j.again[a.ID.Task.Index] {
+	if a.RanAt.IsZero() || j.spec.Shape == intake.Gang || j.inherited || j.again[a.ID.Task.Index] {
 		return
 	}
 	ran := now.Sub(a.RanAt)
