--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -111,6 +111,9 @@
 	}
 	l.jobs[name] = j
 	l.arrivals[spec.Workload]++
+	if at := j.view.Submitted; now.Sub(at) <= tuning.RecentWindow {
+		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, spec.Pieces)})
+	}
 	l.dirty = true
 	l.d.Log.Debug("job", "id", name, "owner", spec.Owner, "workload", spec.Workload, "pieces", spec.Pieces)
 }
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -25,6 +25,7 @@
 	// returned are machines given back, which lists may still show.
 	returned map[string]time.Time
 	memory   *market.Memory
+	recent   []arrival
 	// backoff is the pause after a call that the cloud did not carry out, zero
 	// while it answers; retryAt is when the next call may go out.
 	backoff time.Duration
@@ -32,6 +33,12 @@
 	weighed time.Time
 }
 
+// arrival is a job that came a short while ago.
+type arrival struct {
+	at     time.Time
+	demand market.Demand
+}
+
 type booting struct {
 	pool  market.Pool
 	since time.Time
@@ -73,6 +80,9 @@
 			delete(m.returned, name)
 		}
 	}
+	for len(m.recent) > 0 && now.Sub(m.recent[0].at) > tuning.RecentWindow {
+		m.recent = m.recent[1:]
+	}
 	l.retireRigs(now)
 	l.giveUpSurplus(now)
 	if m.busy || now.Before(m.retryAt) {
@@ -381,8 +391,11 @@
 		if left <= 0 {
 			continue
 		}
-		v.Demand = append(v.Demand, market.Demand{Owner: j.spec.Owner, Pieces: left, Need: placement.Need(j.spec),
-			Spot: j.spec.Loaners, Types: j.spec.RigTypes, Zone: j.spec.Hall})
+		v.Demand = append(v.Demand, demandOf(j, left))
+	}
+	v.Window = tuning.RecentWindow
+	for _, n := range l.market.recent {
+		v.Recent = append(v.Recent, n.demand)
 	}
 	for _, t := range l.teams {
 		v.Limits = append(v.Limits, market.Limit{Owner: t.Name, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}})
@@ -390,6 +403,12 @@
 	return v
 }
 
+// demandOf is what so many tasks of a job ask of the market.
+func demandOf(j *job, pieces int) market.Demand {
+	return market.Demand{Owner: j.spec.Owner, Pieces: pieces, Need: placement.Need(j.spec),
+		Spot: j.spec.Loaners, Types: j.spec.RigTypes, Zone: j.spec.Hall}
+}
+
 // giveUpSurplus returns machines that have been idle for a while and that the
 // demand of the last while would not have needed.
 func (l *Leader) giveUpSurplus(now time.Time) {
--- a/internal/market/plan.go
+++ b/internal/market/plan.go
@@ -38,17 +38,25 @@
 	Refused map[Pool]bool
 	Demand  []Demand
 	Limits  []Limit
+	// Recent are the jobs that came within the last Window, whether done or
+	// not: as much is to be expected of the time to come.
+	Recent []Demand
+	Window time.Duration
 }
 
 // Targets tells how many machines are wanted of each kind: ordinary ones for
 // what can't run elsewhere, spot ones for the rest.
-func Targets(v View, t RigType) (ordinary, spot float64) {
+func Targets(v View, t RigType) (ordinary, spot float64) { return v.fill(v.Demand, t) }
+
+// fill tells how many machines the demand would fill, at most as much as the
+// teams' limits let run.
+func (v View) fill(demand []Demand, t RigType) (ordinary, spot float64) {
 	used := make(map[string]placement.Room)
 	max := make(map[string]placement.Room)
 	for _, l := range v.Limits {
 		max[l.Owner] = l.Max
 	}
-	for _, d := range v.Demand {
+	for _, d := range demand {
 		if !allows(d.Types, t.SKU) {
 			continue
 		}
@@ -100,9 +108,10 @@
 // ones that only stand in for spot machines.
 type Want struct{ Ordinary, All, Overflow float64 }
 
-// Wants adds spare machines to the present demand. Demand comes in jobs, at
-// random: how far it strays from its mean grows with the square root of it,
-// and so does what must stand ready. Work that spot machines could do is worth
+// Wants adds spare machines to the present demand: for what may come before
+// another machine could be up. Jobs come at random, so how far that strays
+// from its mean grows with the square root of it, and where nothing has come
+// for a while nothing need stand ready. Work that spot machines could do is worth
 // an ordinary one only in part: the dearer it is, the longer that work had
 // better wait for its turn.
 func Wants(v View, t RigType, spare float64) Want {
@@ -111,8 +120,13 @@
 	if t.Rate > 0 && t.MarketPrice > 0 {
 		part = min(1, tuning.OverflowWorth*t.MarketPrice/t.Rate)
 	}
-	w := Want{Ordinary: math.Ceil(ordinary + spare*part*math.Sqrt(ordinary)), Overflow: part}
-	w.All = w.Ordinary + math.Ceil(spot+spare*math.Sqrt(spot))
+	newOrdinary, newSpot := v.fill(v.Recent, t)
+	ahead := 0.0
+	if v.Window > 0 {
+		ahead = t.ReadyS / v.Window.Seconds()
+	}
+	w := Want{Ordinary: math.Ceil(ordinary + spare*part*math.Sqrt(newOrdinary*ahead)), Overflow: part}
+	w.All = w.Ordinary + math.Ceil(spot+spare*math.Sqrt(newSpot*ahead))
 	return w
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -217,11 +217,13 @@
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
 	OverflowWorth = 2
+	// RecentWindow is how far back jobs are counted to tell what may come.
+	RecentWindow = 60 * time.Second
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
 	// and keep: machines beside those that the demand fills, in units of the
-	// square root of their number.
-	RentSpare = 3.0
-	KeepSpare = 3.0
+	// square root of what comes while a machine boots.
+	RentSpare = 4.0
+	KeepSpare = 4.0
 )
 
 // Serving.
