--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -222,8 +222,8 @@
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
 	// and keep: machines beside those that the demand fills, in units of the
 	// square root of what comes while a machine boots.
-	RentSpare = 6.0
-	KeepSpare = 6.0
+	RentSpare = 3.0
+	KeepSpare = 3.0
 )
 
 // Serving.
