--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -209,10 +209,10 @@
 	// ReturnBatch is the largest number of names in one return.
 	ReturnBatch = 100
 	// IdleReturn is how long an unneeded machine is kept where price counts.
-	IdleReturn = 10 * time.Second
+	IdleReturn = 15 * time.Second
 	// KeepWindow is how far back demand is remembered before machines are
 	// given back.
-	KeepWindow = 20 * time.Second
+	KeepWindow = 40 * time.Second
 	// OverflowWorth times the spot price, by the ordinary price, is the part
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
@@ -222,8 +222,8 @@
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
 	// and keep: machines beside those that the demand fills, in units of the
 	// square root of what comes while a machine boots.
-	RentSpare = 3.0
-	KeepSpare = 3.0
+	RentSpare = 4.0
+	KeepSpare = 4.0
 )
 
 // Serving.
