--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -53,6 +53,16 @@
 	over  func()
 }
 
+// removes tells whether the entry removes a key.
+func (e entry) removes(key string) bool {
+	for _, w := range e.writes {
+		if w.Remove == key {
+			return true
+		}
+	}
+	return false
+}
+
 // commit starts the next transaction if one is due.
 func (l *Leader) commit(now time.Time) {
 	c := &l.committer
@@ -242,10 +252,18 @@
 		writes: []ledger.Write{{Remove: intake.OpenPrefix + name}, {Set: intake.FinalPrefix + name, V: v}},
 	}
 	for chunk := range j.stamps {
+		if len(e.writes) >= l.d.Settings.Params.State.TxnOps {
+			break // the rest is swept up later
+		}
 		e.writes = append(e.writes, ledger.Write{Remove: didKey(name, chunk)})
 	}
 	e.done = func(uint64, time.Time) {
 		l.d.Log.Debug("job done", "id", name)
+		for chunk, stamp := range j.stamps {
+			if !e.removes(didKey(name, chunk)) {
+				l.committer.sweep(didKey(name, chunk), stamp)
+			}
+		}
 		l.retire(j, time.Now())
 	}
 	e.clash = func(stamps map[string]uint64, now time.Time) {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -271,3 +271,56 @@
 		}
 	}
 }
+
+// TestLargeJobFitsItsLimits: a job of the largest size, nearly done, keeps
+// every value and transaction within the state service's limits.
+func TestLargeJobFitsItsLimits(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	l.d.Settings.Params.State.ValueKB, l.d.Settings.Params.State.TxnOps = 8, 5
+	for i := range 3 {
+		addRig(l, fmt.Sprint("m-", i), "east", now)
+	}
+	spec := sweep("j-00000000000000000001", tuning.MaxPieces)
+	spec.VCPUs, spec.Accelerators, spec.RAMGB = 0.01, 0, 0.01
+	j := addJob(t, l, spec, now)
+	for i := range spec.Pieces - 300 {
+		j.did.set(i)
+	}
+	j.recount()
+	for c := range (spec.Pieces + tuning.DoneChunk - 1) / tuning.DoneChunk {
+		l.committer.chunks[chunkRef{j, c}] = true
+	}
+	l.pass(now)
+	check := func() (n int) {
+		for entries := l.collect(now); len(entries) > 0; entries = l.collect(now) {
+			ops := 0
+			for _, e := range entries {
+				ops += len(e.writes)
+				for _, w := range e.writes {
+					if len(w.V) > 8<<10 {
+						t.Fatalf("%s%s has %d bytes", w.Set, w.Remove, len(w.V))
+					}
+				}
+			}
+			if ops > 5 {
+				t.Fatalf("%d changes in one transaction", ops)
+			}
+			n += ops
+			l.committed(entries, uint64(1000+n), nil, nil)
+		}
+		return n
+	}
+	if check() < 7+3 {
+		t.Errorf("not all chunks and machines were written")
+	}
+	for i := range spec.Pieces {
+		j.did.set(i)
+	}
+	j.recount()
+	l.checkComplete(j)
+	check()
+	if l.jobs[spec.NameID] != nil || len(l.committer.remains) != 0 {
+		t.Errorf("the job is not closed: %d keys remain", len(l.committer.remains))
+	}
+}
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -130,7 +130,7 @@
 		case len(rec.Holds) > 0:
 			rec.Holds = nil
 		default:
-			return raw, nil // MaxAttempts keeps it from coming to this
+			return raw, nil // placement's seats keep it from coming to this
 		}
 	}
 }
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -101,7 +101,8 @@
 	for _, r := range l.rigs {
 		typ, ok := cat.Type(r.m.Type)
 		pr := l.shape(r)
-		pr.Open = ok && r.open(now) && len(r.m.Attempts) < tuning.MaxAttempts
+		pr.Open = ok && r.open(now)
+		pr.Seats = int(l.d.Settings.Params.State.ValueKB*1024)/tuning.AttemptBytes - len(r.m.Attempts)
 		pr.Total = placement.Room{VCPUs: typ.VCPUs, GPUs: typ.Accelerators, RAM: typ.RAMGB}
 		pr.Pull = typ.PullGBPerS
 		pr.Cached = make(map[string]time.Duration, len(r.images))
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -102,7 +102,7 @@
 }
 
 func (p *pass) usable(j *Job, r *Rig) bool {
-	return r.Open && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || outranks(j, r.claimed))
+	return r.Open && r.Seats > 0 && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || outranks(j, r.claimed))
 }
 
 // outranks tells whether a job stands above another whatever the time.
@@ -172,6 +172,7 @@
 		p.whole--
 	}
 	r.used = r.used.Add(need)
+	r.Seats--
 	p.Teams[j.Spec.Owner].Used = p.Teams[j.Spec.Owner].Used.Add(need)
 	for i, h := range r.Held {
 		if h.Pipeline == j.Pipeline() {
@@ -291,7 +292,7 @@
 		if !p.usable(j, r) {
 			continue
 		}
-		n := room(r).Count(need, len(j.Waiting))
+		n := room(r).Count(need, min(len(j.Waiting), r.Seats))
 		for k := 0; k < n; k++ {
 			s := seat{r, p.score(r, j)}
 			if byZone[r.Zone] == nil {
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -32,6 +32,7 @@
 	for i := range rapid.IntRange(1, 7).Draw(t, "rigs") {
 		r := &Rig{Name: fmt.Sprintf("m-%d", i), Type: "g", Zone: rapid.SampledFrom([]string{"z1", "z2", "z3"}).Draw(t, "zone"),
 			Spot: rapid.Bool().Draw(t, "spot"), Open: rapid.IntRange(0, 5).Draw(t, "open") > 0,
+			Seats: rapid.IntRange(0, 9).Draw(t, "seats"),
 			Total: Room{VCPUs: 8, GPUs: 4, RAM: 16}, Pull: 1, Cached: map[string]time.Duration{}}
 		for range rapid.IntRange(0, 2).Draw(t, "slots") {
 			j := job()
@@ -109,6 +110,9 @@
 			used[owner] = used[owner].Add(Need(s.Job.Spec))
 			rooms[s.Rig.Name] = rooms[s.Rig.Name].Add(Need(s.Job.Spec))
 			note(s.Job, s.Rig.Zone)
+			if s.Rig.Seats < 0 {
+				t.Fatalf("%s has no seat in its machine's record", key)
+			}
 			if !s.Rig.Total.Fits(rooms[s.Rig.Name]) {
 				t.Fatalf("%s does not fit", key)
 			}
@@ -142,7 +146,7 @@
 }
 
 func oneRig(held ...Held) *Rig {
-	return &Rig{Name: "m-0", Type: "g", Zone: "z", Open: true, Total: Room{8, 4, 16}, Held: held}
+	return &Rig{Name: "m-0", Type: "g", Zone: "z", Open: true, Seats: 9, Total: Room{8, 4, 16}, Held: held}
 }
 
 func sweepJob(id, owner string, prio int) *Job {
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -95,8 +95,10 @@
 type Rig struct {
 	Name, Type, Zone string
 	Spot             bool
-	// Open tells whether new tasks may be put here.
+	// Open tells whether new tasks may be put here, Seats how many at most:
+	// the machine's record must hold them all.
 	Open  bool
+	Seats int
 	Total Room
 	Slots []Slot
 	Held  []Held
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -86,9 +86,9 @@
 	// RecordQuiet is how long a machine's record may still list attempts
 	// that are proven gone before it is rewritten for that alone.
 	RecordQuiet = 1500 * time.Millisecond
-	// MaxAttempts bounds the attempts on one machine so that its record
-	// stays within the smallest value size.
-	MaxAttempts = 96
+	// AttemptBytes is what one attempt with its job takes at most in its
+	// machine's record; the value limit then bounds the attempts on a machine.
+	AttemptBytes = 176
 	// DoneChunk is the number of tasks whose completion one record holds:
 	// 2 KiB of bits, 2.7 KiB in JSON.
 	DoneChunk = 16384
@@ -209,10 +209,10 @@
 	// ReturnBatch is the largest number of names in one return.
 	ReturnBatch = 100
 	// IdleReturn is how long an unneeded machine is kept where price counts.
-	IdleReturn = 15 * time.Second
+	IdleReturn = 10 * time.Second
 	// KeepWindow is how far back demand is remembered before machines are
 	// given back.
-	KeepWindow = 40 * time.Second
+	KeepWindow = 20 * time.Second
 	// OverflowWorth times the spot price, by the ordinary price, is the part
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
