--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -181,7 +181,7 @@
 	fmt.Fprintln(w, "NODE\tLEADS\tLEADER SEEN\tTERM\tSTATE REQUESTS LEFT\tSTATE CHANGES LEFT\tCLOUD CALLS LEFT")
 	for _, n := range o.Nodes {
 		if !n.Reachable {
-			fmt.Fprintf(w, "%s\tnot reachable\n", n.Label)
+			fmt.Fprintf(w, "%s\tnot reachable\t\t\t\t\t\n", n.Label)
 			continue
 		}
 		fmt.Fprintf(w, "%s\t%v\t%s\t%d\t%.0f\t%.0f\t%.0f\n", n.Label, n.Leads, n.Leader, n.Term, n.RequestTokens, n.WriteTokens, n.CloudTokens)
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -48,6 +48,11 @@
 	// run by then is not known, so they tell nothing of machines.
 	inherited bool
 
+	// gangTry is the number of a gang's present attempt. short is set while a
+	// task that it lost before it ran may be replaced under that number.
+	gangTry uint64
+	short   bool
+
 	failures  int
 	notBefore time.Time
 	avoid     map[string]time.Time
@@ -208,6 +213,7 @@
 
 // haltGang stops all attempts of a gang together.
 func (l *Leader) haltGang(j *job, grace float64, now time.Time) {
+	j.short = false
 	for _, seats := range sortedSeats(j) {
 		l.halt(seats.rig, seats.a, grace, now)
 	}
@@ -295,7 +301,7 @@
 			}
 			l.vacate(r, a)
 			r.lazy(now)
-			l.lost(j, now)
+			l.lost(r, j, a, true, now)
 		case fleet.Ended:
 			l.vacate(r, a)
 			r.lazy(now)
@@ -307,11 +313,40 @@
 	}
 }
 
-// lost restarts a gang that has lost a task: the others go too.
-func (l *Leader) lost(j *job, now time.Time) {
-	if j != nil && j.spec.Shape == intake.Gang && !j.closing {
-		l.haltGang(j, 0, now)
+// lost is called when a task of a gang is gone or has ended undone. While the
+// gang still waits for its start, a replacement with the same attempt number
+// completes it; else the others go too, and it starts anew.
+func (l *Leader) lost(r *rig, j *job, a *fleet.Attempt, replace bool, now time.Time) {
+	if j == nil || j.spec.Shape != intake.Gang || j.closing {
+		return
+	}
+	if replace && l.mayReplace(j, a) {
+		j.short = true
+		j.avoid[r.m.Name] = now.Add(tuning.AvoidFor)
+		l.d.Log.Debug("task of a waiting gang to be replaced", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name)
+		return
+	}
+	j.short = false
+	l.haltGang(j, 0, now)
+}
+
+// mayReplace tells whether the rest of the gang still waits, as far as is
+// known. Should it have started after all, the rest exits for want of the lost
+// task, and that stops the replacement too. Attempts of earlier terms are not
+// completed: what their leader sent last is not known.
+func (l *Leader) mayReplace(j *job, a *fleet.Attempt) bool {
+	if a.Halt || a.Inherited || a.ID.Try != j.gangTry || a.ID.Try>>tuning.TryBits != l.grant.Term || len(j.seats) == 0 {
+		return false
+	}
+	for _, s := range sortedSeats(j) {
+		switch {
+		case s.a.Halt, s.a.Inherited, s.a.ID.Try != a.ID.Try:
+			return false
+		case s.a.Status != "" && s.a.Status != fleet.Fetching && s.a.Status != fleet.Waiting:
+			return false
+		}
 	}
+	return true
 }
 
 // exited takes in a task's exit.
@@ -321,6 +356,7 @@
 		a.Settled = true
 		return
 	}
+	replace := false
 	switch a.Cause {
 	case fleet.CauseDone:
 		l.finish(r, j, a, now)
@@ -338,9 +374,10 @@
 	default:
 		// Refused: the worker knows better than our books; look again soon.
 		j.notBefore = now.Add(tuning.RetryBase)
+		replace = true
 	}
 	a.Settled = true
-	l.lost(j, now)
+	l.lost(r, j, a, replace, now)
 }
 
 // finish records a task's completion. The worker may forget it only once the
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -324,3 +324,54 @@
 		t.Errorf("the job is not closed: %d keys remain", len(l.committer.remains))
 	}
 }
+
+// TestWaitingGangIsCompleted: a gang that loses a task before it runs gets a
+// replacement under the same number, in the same zone; one that has run, or
+// that is told that its mates are gone, starts anew as a whole.
+func TestWaitingGangIsCompleted(t *testing.T) {
+	for _, status := range []string{fleet.Waiting, fleet.Running} {
+		now := time.Now()
+		l := testLeader(t)
+		for i := range 3 {
+			addRig(l, fmt.Sprint("m-e", i), "east", now)
+			addRig(l, fmt.Sprint("m-w", i), "west", now)
+		}
+		spec := sweep("j-1", 2)
+		spec.Shape, spec.SamePlace, spec.Accelerators = intake.Gang, true, 4
+		j := addJob(t, l, spec, now)
+		l.pass(now)
+		epoch := settle(l, 100, now)
+		seats := sortedSeats(j)
+		if len(seats) != 2 {
+			t.Fatalf("%d of 2 placed", len(seats))
+		}
+		try := j.gangTry
+		for _, s := range seats {
+			s.rig.m.Orders(true)
+			l.observe(s.rig, report(l, s.rig, status, ""), false, now)
+		}
+		lost := seats[1].rig
+		l.events(lost, lost.m.Returned(), now)
+		lost.leaving = true
+		l.pass(now)
+		settle(l, epoch, now)
+		if status == fleet.Running {
+			if !seats[0].a.Halt || len(j.seats) != 1 {
+				t.Errorf("the rest of a running gang goes on: %v", j.seats)
+			}
+			continue
+		}
+		again := sortedSeats(j)
+		if len(again) != 2 || seats[0].a.Halt || j.short {
+			t.Fatalf("not completed: %+v", again)
+		}
+		fresh := again[1]
+		if fresh.a.ID.Try != try || fresh.rig == lost || fresh.rig.m.Zone != seats[0].rig.m.Zone || !fresh.a.Cleared {
+			t.Errorf("replaced by %+v on %s", fresh.a, fresh.rig.m.Name)
+		}
+		l.observe(seats[0].rig, report(l, seats[0].rig, fleet.Exited, "mates_gone"), false, now)
+		if len(j.seats) != 0 && !sortedSeats(j)[0].a.Halt {
+			t.Errorf("the replacement outlives its gang")
+		}
+	}
+}
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -25,6 +25,11 @@
 		l.evict(e, now)
 	}
 	l.place(plan, jobs, now)
+	for _, s := range plan.Starts {
+		if j := jobs[s.Job.Spec.NameID]; j != nil && len(j.seats) == j.spec.Pieces {
+			j.short = false
+		}
+	}
 	for _, v := range w.Jobs {
 		v.Claims = nil
 	}
@@ -164,9 +169,14 @@
 	if j.spec.Shape == intake.Gang {
 		// A gang starts as a whole, and not before the last task of an
 		// earlier attempt is proven gone.
-		if len(j.seats) == 0 && j.doneN < j.spec.Pieces {
+		if len(j.seats) == 0 {
+			j.short = false
+		}
+		if len(j.seats) == 0 && j.doneN < j.spec.Pieces || j.short {
 			for i := 0; i < j.spec.Pieces; i++ {
-				v.Waiting = append(v.Waiting, i)
+				if len(j.seats[i]) == 0 {
+					v.Waiting = append(v.Waiting, i)
+				}
 			}
 		}
 		return
@@ -246,6 +256,9 @@
 			continue
 		}
 		try, ok := gangTry[j.spec.NameID]
+		if !ok && j.short {
+			try, ok = j.gangTry, true
+		}
 		if !ok {
 			l.tries++
 			if l.tries >= 1<<tuning.TryBits {
@@ -255,6 +268,7 @@
 			try = l.grant.Term<<tuning.TryBits | l.tries
 			if j.spec.Shape == intake.Gang {
 				gangTry[j.spec.NameID] = try
+				j.gangTry = try
 			}
 		}
 		a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: j.spec.NameID, Index: s.Index}, Try: try},
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -306,7 +306,12 @@
 	// as good as its worst.
 	pick := func(seats []seat, cap int) ([]*Rig, float64) {
 		sort.SliceStable(seats, func(a, b int) bool { return seats[a].score < seats[b].score })
+		// Tasks that already have their place count too: a gang that lost one
+		// while it waited gets a replacement.
 		per := make(map[string]int)
+		for z, n := range j.Zones {
+			per[z] = n
+		}
 		var out []*Rig
 		worst := 0.0
 		for _, s := range seats {
@@ -329,13 +334,16 @@
 		rigs, _ := pick(all, ZoneCap(j.Spec))
 		return rigs
 	}
-	if j.Spec.Apart && len(j.Waiting) > ZoneCap(j.Spec) {
+	if j.Spec.Pieces > ZoneCap(j.Spec) {
 		return nil
 	}
 	var best []*Rig
 	bestScore := 0.0
 	for _, z := range zones {
-		if rigs, s := pick(byZone[z], len(j.Waiting)); rigs != nil && (best == nil || s < bestScore) {
+		if !zoneAllows(j, z) {
+			continue
+		}
+		if rigs, s := pick(byZone[z], j.Spec.Pieces); rigs != nil && (best == nil || s < bestScore) {
 			best, bestScore = rigs, s
 		}
 	}
