--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -153,7 +153,7 @@
 			l.d.Log.Info("records can't be written", "err", err)
 		}
 		c.backoff = min(max(2*c.backoff, tuning.BackoffMin), tuning.BackoffMax)
-		c.retryAt = now.Add(c.backoff)
+		c.retryAt = now.Add(jitter(c.backoff))
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -341,8 +342,12 @@
 	return ctx.Err()
 }
 
+// jitter spreads a pause, so that nodes don't act in step.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// pause waits for about d.
 func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
+	t := time.NewTimer(jitter(d))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -284,7 +284,7 @@
 		l.d.Log.Info("the cloud does not answer", "call", call, "err", err)
 	}
 	m.backoff = min(max(2*m.backoff, tuning.CloudBackoffMin), tuning.CloudBackoffMax)
-	m.retryAt = now.Add(m.backoff)
+	m.retryAt = now.Add(jitter(m.backoff))
 	return true
 }
 
--- /dev/null
+++ b/internal/ledger/client_test.go
@@ -0,0 +1,59 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// TestImpossibleAnswers: whatever the state service says that the protocol does
+// not know counts as no answer.
+func TestImpossibleAnswers(t *testing.T) {
+	status, body := 200, ""
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	defer srv.Close()
+	c := New(strings.TrimPrefix(srv.URL, "http://"), NewBudget(10000, 10000), new(net.Dialer).DialContext)
+	ctx := t.Context()
+	calls := map[string]func() error{
+		"get":    func() error { _, _, err := c.Get(ctx, Record, "k"); return err },
+		"list":   func() error { _, _, err := c.List(ctx, Record, "k/"); return err },
+		"multi":  func() error { _, err := c.Multi(ctx, Record, nil, nil); return err },
+		"lease":  func() error { _, err := c.Acquire(ctx, 1e9); return err },
+		"renew":  func() error { return c.Renew(ctx, 1) },
+		"follow": func() error { _, _, err := c.Follow(ctx, "k/", 1, 0); return err },
+	}
+	for _, a := range []struct {
+		status int
+		body   string
+		want   error
+	}{
+		{200, "<html>", ErrUnknown}, {200, `{"epoch":"x","tenure":"x","stamp":"x","rows":1,"log":1}`, ErrUnknown},
+		{500, "oops", ErrUnknown}, {503, `{"error":"trouble"}`, ErrUnavailable}, {429, "", ErrUnavailable}, {418, "{}", ErrUnknown},
+	} {
+		status, body = a.status, a.body
+		for name, call := range calls {
+			if name == "renew" && a.status == 200 {
+				continue // its answer has no content that matters
+			}
+			if err := call(); !errors.Is(err, a.want) {
+				t.Errorf("%s: %d %s: %v", name, a.status, a.body, err)
+			}
+		}
+	}
+	status, body = 409, `{"failed":["a"]}`
+	var conflict *Conflict
+	if _, err := c.Multi(context.Background(), Record, nil, nil); !errors.As(err, &conflict) || !conflict.Has("a") || conflict.Has("b") {
+		t.Errorf("a conflict is not told: %v", err)
+	}
+	status, body = 409, `{"failed":[]}`
+	if _, err := c.Multi(context.Background(), Record, nil, nil); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a conflict on nothing: %v", err)
+	}
+}
