--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
 	"thornnotch/internal/market"
@@ -408,7 +407,7 @@
 	}
 	hold := tuning.AnswerHold
 	if len(r.m.Attempts) == 0 {
-		hold = min(config.Seconds(l.d.Settings.Params.Workers.ReportS*tuning.IdleHoldShare), tuning.IdleHoldMax, l.lease/4)
+		hold = min(tuning.IdleHold, l.lease/4)
 	}
 	r.waiter = &waiter{shift: rep.Shift, until: arrived.Add(hold), reply: ch}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -80,12 +80,9 @@
 	// orders can go with the answer. Workers report changes at most every
 	// half second, so nothing is delayed by it.
 	AnswerHold = 400 * time.Millisecond
-	// IdleHoldShare is the same for a machine with nothing on it, which has
-	// nothing to report, as a part of the workers' report interval: the next
-	// report then follows at once, and a start nearly always finds one open.
-	// IdleHoldMax stays clear of the 4 s after which workers give up.
-	IdleHoldShare = 0.85
-	IdleHoldMax   = 2500 * time.Millisecond
+	// IdleHold is the same for a machine with nothing running, which has
+	// nothing to report. Workers give an answer up after 4 s.
+	IdleHold = 1200 * time.Millisecond
 	// RecordQuiet is how long a machine's record may still list attempts
 	// that are proven gone before it is rewritten for that alone.
 	RecordQuiet = 1500 * time.Millisecond
