--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -145,7 +145,7 @@
 // worth.
 const (
 	// SpareOrdinary keeps ordinary machines for jobs that can't use others.
-	SpareOrdinary = 15.0
+	SpareOrdinary = 4.0
 	// SpareEmpty keeps machines whole for gangs, and lets others run empty so
 	// that they can be returned.
 	SpareEmpty = 3.0
