--- /dev/null
+++ b/cmd/thornnotch/main.go
@@ -0,0 +1,115 @@
+// Command thornnotch is a cluster scheduler: every controller node runs it.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/node"
+)
+
+// version is set at release with -ldflags.
+var version = "0.1.0-dev"
+
+type cli struct {
+	Serve   serveCmd         `cmd:"" default:"withargs" help:"Run a controller node."`
+	Check   checkCmd         `cmd:"" help:"Check the settings and report every problem."`
+	Version kong.VersionFlag `help:"Print the version."`
+}
+
+type files struct {
+	Config   string `required:"" placeholder:"FILE" help:"The platform's settings (TOML)."`
+	Operator string `placeholder:"FILE" env:"THORNNOTCH_OPERATOR" help:"The operators' own settings (YAML)."`
+}
+
+// settingsError ends the program with exit code 2.
+type settingsError struct{ error }
+
+func (f files) load() (*config.Settings, config.Operator, error) {
+	set, err := config.Load(f.Config)
+	if err != nil {
+		return nil, config.Operator{}, settingsError{err}
+	}
+	op, err := config.LoadOperator(f.Operator)
+	if err != nil {
+		return nil, config.Operator{}, settingsError{err}
+	}
+	return set, op, nil
+}
+
+type serveCmd struct {
+	files
+}
+
+func (c *serveCmd) Run() error {
+	set, op, err := c.load()
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return settingsError{err}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return node.New(set, op, log).Run(ctx)
+}
+
+type checkCmd struct {
+	files
+}
+
+func (c *checkCmd) Run() error {
+	if _, _, err := c.load(); err != nil {
+		return err
+	}
+	fmt.Println("the settings are good")
+	return nil
+}
+
+func newLogger(level string) (*slog.Logger, error) {
+	var l slog.Level
+	switch strings.ToLower(level) {
+	case "debug":
+		l = slog.LevelDebug
+	case "info", "":
+		l = slog.LevelInfo
+	case "error":
+		l = slog.LevelError
+	default:
+		return nil, fmt.Errorf("LOG_LEVEL: must be error, info or debug, is %q", level)
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+}
+
+func main() {
+	var c cli
+	parser, err := kong.New(&c, kong.Name("thornnotch"),
+		kong.Description("A cluster scheduler with speculative slot reservation."),
+		kong.UsageOnError(), kong.Vars{"version": version})
+	if err != nil {
+		panic(err)
+	}
+	ctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "thornnotch:", err)
+		os.Exit(2)
+	}
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "thornnotch:", err)
+		var se settingsError
+		if errors.As(err, &se) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,230 @@
+// Package config decodes and checks the platform's settings file (TOML) and
+// the operators' own (YAML).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Settings is the file that the platform hands over. Unknown fields are
+// ignored: new ones may be added at any time.
+type Settings struct {
+	Label    string   `toml:"label"`
+	Site     string   `toml:"site"`
+	Listen   string   `toml:"listen"`
+	MeshAddr string   `toml:"mesh_addr"`
+	Known    []Peer   `toml:"known"`
+	Services Services `toml:"services"`
+	Params   Params   `toml:"params"`
+}
+
+// Peer is another controller node.
+type Peer struct {
+	Label string `toml:"label"`
+	Site  string `toml:"site"`
+	Addr  string `toml:"addr"`
+}
+
+// Services are the addresses of the outside systems.
+type Services struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Params are the settings that all nodes share.
+type Params struct {
+	Count      int         `toml:"count"`
+	Zones      []string    `toml:"zones"`
+	ClockOffMS float64     `toml:"clock_off_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Limits     Limits      `toml:"machine_limits"`
+}
+
+// Team has a guaranteed level and a limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers are the workers' timings, in seconds.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// State limits the calls to the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud limits the calls to the cloud.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits are the node's own machine.
+type Limits struct {
+	Cores   float64 `toml:"cores"`
+	MemMB   float64 `toml:"mem_mb"`
+	Sockets int     `toml:"sockets"`
+}
+
+// Seconds turns a setting in seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Load reads and checks a settings file. The error names every problem with
+// its key.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(string(raw))
+}
+
+// Parse decodes and checks the text of a settings file.
+func Parse(text string) (*Settings, error) {
+	var s Settings
+	if _, err := toml.Decode(text, &s); err != nil {
+		var pe toml.ParseError
+		if errors.As(err, &pe) {
+			return nil, fmt.Errorf("settings: line %d: %s", pe.Position.Line, pe.Message)
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+type problems []error
+
+func (p *problems) add(key, format string, args ...any) {
+	*p = append(*p, fmt.Errorf("%s: %s", key, fmt.Sprintf(format, args...)))
+}
+
+func (p *problems) addr(key, v string) {
+	if v == "" {
+		p.add(key, "is missing")
+		return
+	}
+	if _, port, err := net.SplitHostPort(v); err != nil || port == "" {
+		p.add(key, "%q is not HOST:PORT", v)
+	}
+}
+
+func (p *problems) text(key, v string) {
+	if strings.TrimSpace(v) == "" {
+		p.add(key, "is missing")
+	}
+}
+
+func (p *problems) positive(key string, v float64) {
+	if !(v > 0 && v < 1e9) {
+		p.add(key, "must be above 0, is %v", v)
+	}
+}
+
+func (p *problems) amount(key string, v float64) {
+	if !(v >= 0 && v < 1e9) {
+		p.add(key, "must be 0 or more, is %v", v)
+	}
+}
+
+func (s *Settings) check() error {
+	var p problems
+	p.text("label", s.Label)
+	p.text("site", s.Site)
+	p.addr("listen", s.Listen)
+	p.addr("mesh_addr", s.MeshAddr)
+	p.addr("services.cloud", s.Services.Cloud)
+	p.addr("services.state", s.Services.State)
+	seen := map[string]bool{s.Label: true}
+	for i, k := range s.Known {
+		key := fmt.Sprintf("known[%d]", i)
+		p.text(key+".label", k.Label)
+		p.addr(key+".addr", k.Addr)
+		if seen[k.Label] {
+			p.add(key+".label", "%q stands twice", k.Label)
+		}
+		seen[k.Label] = true
+	}
+	if s.Params.Count < 1 {
+		p.add("params.count", "must be 1 or more, is %d", s.Params.Count)
+	}
+	if len(s.Params.Teams) == 0 {
+		p.add("params.teams", "is missing")
+	}
+	teams := map[string]bool{}
+	for i, t := range s.Params.Teams {
+		key := fmt.Sprintf("params.teams[%d]", i)
+		p.text(key+".name", t.Name)
+		if teams[t.Name] {
+			p.add(key+".name", "%q stands twice", t.Name)
+		}
+		teams[t.Name] = true
+		p.amount(key+".cpus", t.CPUs)
+		p.amount(key+".cpus_max", t.CPUsMax)
+		p.amount(key+".gpus", t.GPUs)
+		p.amount(key+".gpus_max", t.GPUsMax)
+		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
+			p.add(key+".cpus", "is above cpus_max")
+		}
+		if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+			p.add(key+".gpus", "is above gpus_max")
+		}
+	}
+	w := s.Params.Workers
+	p.positive("params.workers.report_s", w.ReportS)
+	p.positive("params.workers.lease_s", w.LeaseS)
+	p.positive("params.workers.gang_wait_s", w.GangWaitS)
+	p.positive("params.workers.gang_peer_s", w.GangPeerS)
+	p.positive("params.workers.cancel_s", w.CancelS)
+	if w.CancelS > 0 && w.CancelS <= w.LeaseS {
+		p.add("params.workers.cancel_s", "must be above lease_s, or no cancellation can be kept")
+	}
+	p.positive("params.state.rps", s.Params.State.RPS)
+	p.positive("params.state.write_rps", s.Params.State.WriteRPS)
+	p.positive("params.state.value_kb", s.Params.State.ValueKB)
+	if s.Params.State.TxnOps < 4 {
+		p.add("params.state.txn_ops", "must be 4 or more, is %d", s.Params.State.TxnOps)
+	}
+	p.positive("params.cloud.rps", s.Params.Cloud.RPS)
+	p.amount("params.cloud.list_lag_s", s.Params.Cloud.ListLagS)
+	p.amount("params.machine_limits.cores", s.Params.Limits.Cores)
+	p.amount("params.machine_limits.mem_mb", s.Params.Limits.MemMB)
+	if s.Params.Limits.Sockets < 0 {
+		p.add("params.machine_limits.sockets", "must be 0 or more, is %d", s.Params.Limits.Sockets)
+	}
+	return errors.Join(p...)
+}
--- /dev/null
+++ b/internal/fleet/courier.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"thornnotch/internal/tuning"
+)
+
+// Courier carries orders to workers' own addresses.
+type Courier struct{ http *http.Client }
+
+// NewCourier makes a courier.
+func NewCourier() *Courier {
+	dialer := &net.Dialer{Timeout: tuning.CommandTimeout}
+	return &Courier{&http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
+		IdleConnTimeout: tuning.HeaderTimeout, DisableCompression: true,
+	}}}
+}
+
+// Command sends orders; the answer, also to refused ones, is the worker's
+// report.
+func (c *Courier) Command(ctx context.Context, endpoint string, a Answer) (*Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.CommandTimeout)
+	defer cancel()
+	raw, err := json.Marshal(a)
+	if err != nil {
+		return nil, fmt.Errorf("encode orders: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint+"/commands", bytes.NewReader(raw))
+	if err != nil {
+		return nil, fmt.Errorf("orders: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("orders: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 16*tuning.BodyMax))
+	if err != nil {
+		return nil, fmt.Errorf("orders: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, fmt.Errorf("orders: status %d", resp.StatusCode)
+	}
+	return DecodeReport(body)
+}
--- /dev/null
+++ b/internal/intake/job.go
@@ -0,0 +1,192 @@
+// Package intake is the users' interface: it takes, reports and cancels jobs.
+package intake
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+
+	"thornnotch/internal/tuning"
+)
+
+// Shapes of jobs.
+const (
+	Sweep = "sweep"
+	Gang  = "gang"
+)
+
+// States of a job as users see them.
+const (
+	Pending = "pending"
+	Running = "running"
+	Done    = "done"
+	Aborted = "aborted"
+)
+
+// Job is a job as users submit it.
+type Job struct {
+	NameID       string   `json:"nameId"`
+	Workload     string   `json:"workload"`
+	Owner        string   `json:"owner"`
+	Shape        string   `json:"shape"`
+	Urgency      string   `json:"urgency"`
+	Pieces       int      `json:"pieces"`
+	VCPUs        float64  `json:"vcpus"`
+	Accelerators float64  `json:"accelerators"`
+	RAMGB        float64  `json:"ramGb"`
+	Bundle       string   `json:"bundle"`
+	ImageGB      float64  `json:"imageGb"`
+	RigTypes     []string `json:"rigTypes,omitempty"`
+	Hall         string   `json:"hall,omitempty"`
+	SamePlace    bool     `json:"samePlace,omitempty"`
+	Apart        bool     `json:"apart,omitempty"`
+	Loaners      bool     `json:"loaners,omitempty"`
+	ExpectS      float64  `json:"expectS"`
+	SnapshotS    float64  `json:"snapshotS"`
+	StashS       float64  `json:"stashS"`
+	DueS         *float64 `json:"dueS,omitempty"`
+}
+
+var idForm = regexp.MustCompile(`^j-[0-9]{1,20}$`)
+
+// ValidID tells whether id has the form of a job's name.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// Priority orders urgencies; higher goes first.
+func Priority(urgency string) int {
+	switch urgency {
+	case "production":
+		return 3
+	case "urgent":
+		return 2
+	case "standard":
+		return 1
+	}
+	return 0
+}
+
+// FieldError is a malformed submission; it names the field at fault.
+type FieldError struct{ Field, Problem string }
+
+func (e *FieldError) Error() string {
+	if e.Field == "" {
+		return e.Problem
+	}
+	return e.Field + ": " + e.Problem
+}
+
+// submission has pointers so that a missing field differs from a zero one.
+type submission struct {
+	NameID       *string  `json:"nameId"`
+	Workload     *string  `json:"workload"`
+	Owner        *string  `json:"owner"`
+	Shape        *string  `json:"shape"`
+	Urgency      *string  `json:"urgency"`
+	Pieces       *int     `json:"pieces"`
+	VCPUs        *float64 `json:"vcpus"`
+	Accelerators *float64 `json:"accelerators"`
+	RAMGB        *float64 `json:"ramGb"`
+	Bundle       *string  `json:"bundle"`
+	ImageGB      *float64 `json:"imageGb"`
+	RigTypes     []string `json:"rigTypes"`
+	Hall         *string  `json:"hall"`
+	SamePlace    *bool    `json:"samePlace"`
+	Apart        *bool    `json:"apart"`
+	Loaners      *bool    `json:"loaners"`
+	ExpectS      *float64 `json:"expectS"`
+	SnapshotS    *float64 `json:"snapshotS"`
+	StashS       *float64 `json:"stashS"`
+	DueS         *float64 `json:"dueS"`
+}
+
+// DecodeJob reads a submission. Unknown fields are ignored and null equals
+// omitted; every error is a *FieldError.
+func DecodeJob(raw []byte) (*Job, error) {
+	if trimmed := bytes.TrimSpace(raw); len(trimmed) == 0 || trimmed[0] != '{' {
+		return nil, &FieldError{"", "the body is not a JSON object"}
+	}
+	var s submission
+	if err := json.Unmarshal(raw, &s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, &FieldError{te.Field, "has the wrong type: " + te.Value}
+		}
+		return nil, &FieldError{"", "the body is not JSON: " + err.Error()}
+	}
+	var bad *FieldError
+	fail := func(field, problem string) {
+		if bad == nil {
+			bad = &FieldError{field, problem}
+		}
+	}
+	text := func(field string, v *string) string {
+		switch {
+		case v == nil:
+			fail(field, "is missing")
+			return ""
+		case *v == "" || len(*v) > 200:
+			fail(field, "must have 1 to 200 bytes")
+		}
+		return *v
+	}
+	amount := func(field string, v *float64, least float64) float64 {
+		switch {
+		case v == nil:
+			fail(field, "is missing")
+			return 0
+		case !(*v >= least) || math.IsInf(*v, 0) || *v > tuning.AmountMax:
+			fail(field, fmt.Sprintf("%v is out of range", *v))
+		}
+		return *v
+	}
+	flag := func(field string, v *bool) bool {
+		if v == nil {
+			fail(field, "is missing")
+			return false
+		}
+		return *v
+	}
+	j := &Job{
+		NameID: text("nameId", s.NameID), Workload: text("workload", s.Workload), Owner: text("owner", s.Owner),
+		Shape: text("shape", s.Shape), Urgency: text("urgency", s.Urgency),
+		VCPUs: amount("vcpus", s.VCPUs, 0), Accelerators: amount("accelerators", s.Accelerators, 0),
+		RAMGB: amount("ramGb", s.RAMGB, 0), Bundle: text("bundle", s.Bundle), ImageGB: amount("imageGb", s.ImageGB, 0),
+		RigTypes: s.RigTypes, SamePlace: flag("samePlace", s.SamePlace), Apart: flag("apart", s.Apart),
+		Loaners: flag("loaners", s.Loaners), ExpectS: amount("expectS", s.ExpectS, 0),
+		SnapshotS: amount("snapshotS", s.SnapshotS, 0), StashS: amount("stashS", s.StashS, 0), DueS: s.DueS,
+	}
+	if s.Hall != nil {
+		j.Hall = text("hall", s.Hall)
+	}
+	if s.DueS != nil {
+		amount("dueS", s.DueS, 0)
+	}
+	if s.RigTypes != nil && len(s.RigTypes) == 0 {
+		fail("rigTypes", "must be null or name a type")
+	}
+	switch {
+	case s.Pieces == nil:
+		fail("pieces", "is missing")
+	case *s.Pieces < 1 || *s.Pieces > tuning.MaxPieces:
+		fail("pieces", fmt.Sprintf("%d is not from 1 to %d", *s.Pieces, tuning.MaxPieces))
+	default:
+		j.Pieces = *s.Pieces
+	}
+	if bad == nil {
+		switch {
+		case !ValidID(j.NameID):
+			fail("nameId", "must be j- and digits")
+		case j.Shape != Sweep && j.Shape != Gang:
+			fail("shape", "must be sweep or gang")
+		case j.Urgency != "idle" && Priority(j.Urgency) == 0:
+			fail("urgency", "must be production, urgent, standard or idle")
+		}
+	}
+	if bad != nil {
+		return nil, bad
+	}
+	return j, nil
+}
--- /dev/null
+++ b/internal/intake/server.go
@@ -0,0 +1,284 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/tuning"
+)
+
+// Store is what the users' interface needs of the state service.
+type Store interface {
+	Get(ctx context.Context, class ledger.Class, key string) (ledger.Row, bool, error)
+	Multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error)
+}
+
+// Progress tells how far an open job is, for display only.
+type Progress func(ctx context.Context, id string) (done, running int, ok bool)
+
+// Server answers users. Any node does, whoever leads: what it says of a job
+// comes from the state service, or is final and can't change.
+type Server struct {
+	store    Store
+	teams    []config.Team
+	catalog  func() []MachineType
+	progress Progress
+	ready    func() bool
+	log      *slog.Logger
+	finals   *lru.Cache[string, Final]
+}
+
+// NewServer makes the users' interface.
+func NewServer(store Store, teams []config.Team, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
+	finals, err := lru.New[string, Final](tuning.FinalCache)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{store, teams, catalog, progress, ready, log, finals}, nil
+}
+
+// Register adds the users' endpoints.
+func (s *Server) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /work", s.submit)
+	mux.HandleFunc("GET /work/{id}", s.poll)
+	mux.HandleFunc("POST /work/{id}/cancel", s.cancel)
+	mux.HandleFunc("GET /ready", s.readiness)
+}
+
+// State is a job as users are told of it.
+type State struct {
+	NameID  string `json:"nameId"`
+	Status  string `json:"status"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+// WriteJSON answers with a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, `{"error":"internal"}`, http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(raw, '\n'))
+}
+
+type problem struct {
+	Error string `json:"error"`
+	Field string `json:"field,omitempty"`
+}
+
+// later answers at once that the request can't be served now, and when to
+// come back.
+func later(w http.ResponseWriter, why string) {
+	w.Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
+	WriteJSON(w, http.StatusServiceUnavailable, problem{Error: why})
+}
+
+// ReadBody reads a request's body within the protocol's bound.
+func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tuning.BodyMax))
+	if err != nil {
+		WriteJSON(w, http.StatusBadRequest, problem{Error: "the body can't be read: " + err.Error()})
+		return nil, false
+	}
+	return raw, true
+}
+
+func (s *Server) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready() {
+		later(w, "starting")
+		return
+	}
+	WriteJSON(w, http.StatusOK, struct {
+		Status string `json:"status"`
+	}{"ready"})
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
+	raw, ok := ReadBody(w, r)
+	if !ok {
+		return
+	}
+	j, err := DecodeJob(raw)
+	if err != nil {
+		var fe *FieldError
+		if errors.As(err, &fe) {
+			WriteJSON(w, http.StatusBadRequest, problem{fe.Problem, fe.Field})
+		} else {
+			WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.UserPatience)
+	defer cancel()
+	cat := s.catalog()
+	if len(cat) == 0 {
+		later(w, "the machine types are not known yet")
+		return
+	}
+	if err := CanRun(j, s.teams, cat); err != nil {
+		// A job accepted under an older catalog stays accepted.
+		st, found, lookErr := s.look(ctx, j.NameID, ledger.Submit)
+		switch {
+		case lookErr != nil:
+			later(w, "the state service can't be asked")
+		case found:
+			WriteJSON(w, http.StatusOK, st)
+		default:
+			WriteJSON(w, http.StatusUnprocessableEntity, problem{Error: err.Error()})
+		}
+		return
+	}
+	value, err := json.Marshal(j)
+	if err != nil {
+		WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
+		return
+	}
+	_, err = s.store.Multi(ctx, ledger.Submit,
+		[]ledger.Cond{{K: OpenPrefix + j.NameID}, {K: FinalPrefix + j.NameID}},
+		[]ledger.Write{{Set: OpenPrefix + j.NameID, V: value}})
+	var conflict *ledger.Conflict
+	switch {
+	case err == nil:
+		WriteJSON(w, http.StatusCreated, State{NameID: j.NameID, Status: Pending})
+	case errors.As(err, &conflict):
+		st, found, err := s.look(ctx, j.NameID, ledger.Submit)
+		if err != nil || !found {
+			later(w, "the state service can't be asked")
+			return
+		}
+		WriteJSON(w, http.StatusOK, st)
+	default:
+		s.log.Debug("submission not recorded", "id", j.NameID, "err", err)
+		later(w, "the job can't be recorded now")
+	}
+}
+
+// look reads a job's state: open first, then final, so that a job that moves
+// between both is never missed.
+func (s *Server) look(ctx context.Context, id string, class ledger.Class) (State, bool, error) {
+	if f, ok := s.finals.Get(id); ok {
+		return finalState(id, f), true, nil
+	}
+	_, found, err := s.store.Get(ctx, class, OpenPrefix+id)
+	if err != nil {
+		return State{}, false, err
+	}
+	if found {
+		done, running := 0, 0
+		if s.progress != nil {
+			if d, r, ok := s.progress(ctx, id); ok {
+				done, running = d, r
+			}
+		}
+		st := State{NameID: id, Status: Pending, Done: &done, Running: &running}
+		if running > 0 {
+			st.Status = Running
+		}
+		return st, true, nil
+	}
+	return s.lookFinal(ctx, id, class)
+}
+
+func (s *Server) lookFinal(ctx context.Context, id string, class ledger.Class) (State, bool, error) {
+	row, found, err := s.store.Get(ctx, class, FinalPrefix+id)
+	if err != nil || !found {
+		return State{}, false, err
+	}
+	var f Final
+	if err := json.Unmarshal(row.V, &f); err != nil {
+		return State{}, false, err
+	}
+	s.finals.Add(id, f)
+	return finalState(id, f), true, nil
+}
+
+func finalState(id string, f Final) State {
+	done, running := 0, 0
+	if f.Status == Done {
+		done = f.Pieces
+	}
+	return State{NameID: id, Status: f.Status, Done: &done, Running: &running}
+}
+
+func (s *Server) poll(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !ValidID(id) {
+		WriteJSON(w, http.StatusNotFound, problem{Error: "no such job"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollPatience)
+	defer cancel()
+	st, found, err := s.look(ctx, id, ledger.Poll)
+	switch {
+	case err != nil:
+		later(w, "the state service can't be asked")
+	case !found:
+		WriteJSON(w, http.StatusNotFound, problem{Error: "no such job"})
+	default:
+		WriteJSON(w, http.StatusOK, st)
+	}
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !ValidID(id) {
+		WriteJSON(w, http.StatusNotFound, problem{Error: "no such job"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.UserPatience)
+	defer cancel()
+	if f, ok := s.finals.Get(id); ok {
+		WriteJSON(w, http.StatusOK, State{NameID: id, Status: f.Status})
+		return
+	}
+	for range 3 {
+		row, open, err := s.store.Get(ctx, ledger.Cancel, OpenPrefix+id)
+		if err != nil {
+			break
+		}
+		if !open {
+			st, found, err := s.lookFinal(ctx, id, ledger.Cancel)
+			if err != nil {
+				break
+			}
+			if !found {
+				WriteJSON(w, http.StatusNotFound, problem{Error: "no such job"})
+				return
+			}
+			WriteJSON(w, http.StatusOK, State{NameID: id, Status: st.Status})
+			return
+		}
+		f := Final{Status: Aborted}
+		value, err := json.Marshal(f)
+		if err != nil {
+			break
+		}
+		_, err = s.store.Multi(ctx, ledger.Cancel, []ledger.Cond{{K: OpenPrefix + id, Stamp: row.Stamp}},
+			[]ledger.Write{{Remove: OpenPrefix + id}, {Set: FinalPrefix + id, V: value}})
+		var conflict *ledger.Conflict
+		switch {
+		case err == nil:
+			s.finals.Add(id, f)
+			WriteJSON(w, http.StatusOK, State{NameID: id, Status: Aborted})
+			return
+		case !errors.As(err, &conflict):
+			later(w, "the cancellation can't be recorded now")
+			return
+		}
+		// Done or cancelled meanwhile: look again.
+	}
+	later(w, "the cancellation can't be recorded now")
+}
--- /dev/null
+++ b/internal/leader/job.go
@@ -0,0 +1,377 @@
+package leader
+
+import (
+	"encoding/json"
+	"math/bits"
+	"sort"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/placement"
+	"thornnotch/internal/reserve"
+	"thornnotch/internal/tuning"
+)
+
+// seat is an attempt with the machine that it is on.
+type seat struct {
+	rig *rig
+	a   *fleet.Attempt
+}
+
+// job is one accepted job that has not ended.
+type job struct {
+	spec  *intake.Job
+	view  placement.Job
+	stamp uint64 // revision of its record, which never changes
+	seen  time.Time
+
+	did    bitset // finished tasks
+	safe   bitset // those whose completion is recorded
+	doneN  int
+	low    int // no task below it waits
+	stamps map[int]uint64
+
+	// seats are the attempts not proven gone or exited, by task.
+	seats   map[int][]seat
+	started time.Time // first time that a task ran
+	// placed is set once any task was given a place: the job no longer waits
+	// to start.
+	placed bool
+
+	failures  int
+	notBefore time.Time
+	avoid     map[string]time.Time
+	closing   bool // all tasks are done, the final record is being written
+	gone      bool // cancelled or ended
+}
+
+// bitset is a set of tasks.
+type bitset []byte
+
+func (b bitset) has(i int) bool { return b[i/8]&(1<<(i%8)) != 0 }
+func (b bitset) set(i int)      { b[i/8] |= 1 << (i % 8) }
+
+// chunkOf cuts out the part that one record holds.
+func (b bitset) chunkOf(chunk int) []byte {
+	per := tuning.DoneChunk / 8
+	return b[chunk*per : min(len(b), (chunk+1)*per)]
+}
+
+func (j *job) recount() {
+	j.doneN = 0
+	for _, b := range j.did {
+		j.doneN += bits.OnesCount8(b)
+	}
+}
+
+func (j *job) running() (n int) {
+	for _, seats := range j.seats {
+		for _, s := range seats {
+			if s.a.Status == fleet.Running || s.a.Status == fleet.Saving {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// addJob takes in a job's record.
+func (l *Leader) addJob(key string, v json.RawMessage, stamp uint64, now time.Time) {
+	name := key[len(intake.OpenPrefix):]
+	if l.jobs[name] != nil || l.finished[name] {
+		return
+	}
+	var spec intake.Job
+	if err := json.Unmarshal(v, &spec); err != nil || spec.NameID != name || spec.Pieces < 1 || spec.Pieces > tuning.MaxPieces {
+		l.d.Log.Error("unreadable job", "key", key, "err", err)
+		return
+	}
+	j := &job{
+		spec: &spec, stamp: stamp, seen: now,
+		did: make(bitset, (spec.Pieces+7)/8), safe: make(bitset, (spec.Pieces+7)/8),
+		stamps: make(map[int]uint64), seats: make(map[int][]seat), avoid: make(map[string]time.Time),
+	}
+	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now}
+	l.jobs[name] = j
+	l.dirty = true
+	l.d.Log.Debug("job", "id", name, "owner", spec.Owner, "workload", spec.Workload, "pieces", spec.Pieces)
+}
+
+// jobGone is called when a job's record has left the open ones: this leader
+// has finished it, or its user has cancelled it.
+func (l *Leader) jobGone(name string, now time.Time) {
+	if j := l.jobs[name]; j != nil {
+		l.dropJob(j, now)
+		l.d.Log.Debug("job gone", "id", name)
+	}
+	// The watch tells changes in order: nothing older of it can follow.
+	delete(l.finished, name)
+}
+
+// dropJob ends a job in memory: none of its tasks may run any longer.
+func (l *Leader) dropJob(j *job, now time.Time) {
+	name := j.spec.NameID
+	j.gone = true
+	l.finished[name] = true
+	l.bury(j)
+	for chunk, stamp := range j.stamps {
+		l.committer.sweep(didKey(name, chunk), stamp)
+	}
+	for _, r := range l.rigs {
+		for _, a := range r.m.Attempts {
+			if a.ID.Task.Job != name {
+				continue
+			}
+			if a.Status == fleet.Exited {
+				a.Settled = true
+				continue
+			}
+			l.halt(r, a, 0, now)
+		}
+		l.press(r, now)
+	}
+	delete(l.jobs, name)
+	l.dirty = true
+}
+
+// halt stops one attempt.
+func (l *Leader) halt(r *rig, a *fleet.Attempt, grace float64, now time.Time) {
+	if r.m.Withdraw(a, grace, now) {
+		l.vacate(r, a)
+		r.lazy(now)
+	}
+	l.dirty = true
+}
+
+// haltGang stops all attempts of a gang together.
+func (l *Leader) haltGang(j *job, grace float64, now time.Time) {
+	for _, seats := range sortedSeats(j) {
+		l.halt(seats.rig, seats.a, grace, now)
+	}
+	for _, s := range sortedSeats(j) {
+		l.press(s.rig, now)
+	}
+}
+
+func sortedSeats(j *job) []seat {
+	var out []seat
+	for _, ss := range j.seats {
+		out = append(out, ss...)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		x, y := out[a], out[b]
+		if x.a.ID.Task.Index != y.a.ID.Task.Index {
+			return x.a.ID.Task.Index < y.a.ID.Task.Index
+		}
+		return x.rig.m.Name < y.rig.m.Name
+	})
+	return out
+}
+
+// occupy notes an attempt with its job.
+func (l *Leader) occupy(r *rig, a *fleet.Attempt) {
+	j := l.jobs[a.ID.Task.Job]
+	if j == nil || a.ID.Task.Index >= j.spec.Pieces {
+		return
+	}
+	i := a.ID.Task.Index
+	j.seats[i] = append(j.seats[i], seat{r, a})
+	j.placed = true
+}
+
+// vacate takes an attempt off its job once it is gone or has exited.
+func (l *Leader) vacate(r *rig, a *fleet.Attempt) {
+	j := l.jobs[a.ID.Task.Job]
+	if j == nil {
+		return
+	}
+	i := a.ID.Task.Index
+	kept := j.seats[i][:0:0]
+	for _, s := range j.seats[i] {
+		if s.a != a {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		delete(j.seats, i)
+	} else {
+		j.seats[i] = kept
+	}
+	if i < j.low {
+		j.low = i
+	}
+}
+
+// events takes in what a report or the clock says of a machine's attempts.
+func (l *Leader) events(r *rig, list []fleet.Event, now time.Time) {
+	for _, e := range list {
+		a := e.Attempt
+		j := l.jobs[a.ID.Task.Job]
+		l.noteImage(r, j, a)
+		switch e.Why {
+		case fleet.Alien:
+			if a.Status == fleet.Exited {
+				break // an Ended event follows
+			}
+			l.d.Log.Info("task in no record", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name)
+			l.occupy(r, a)
+			if j == nil || a.ID.Task.Index >= j.spec.Pieces {
+				l.halt(r, a, 0, now)
+			} else {
+				l.halt(r, a, j.spec.StashS+tuning.StopGrace.Seconds(), now)
+			}
+			r.urgent()
+		case fleet.Seen:
+			if j != nil && a.Status == fleet.Running && j.started.IsZero() {
+				j.started = now
+			}
+		case fleet.Gone:
+			l.vacate(r, a)
+			r.lazy(now)
+			l.lost(j, now)
+		case fleet.Ended:
+			l.vacate(r, a)
+			r.lazy(now)
+			l.exited(r, j, a, now)
+		}
+	}
+	if len(list) > 0 {
+		l.dirty = true
+	}
+}
+
+// lost restarts a gang that has lost a task: the others go too.
+func (l *Leader) lost(j *job, now time.Time) {
+	if j != nil && j.spec.Shape == intake.Gang && !j.closing {
+		l.haltGang(j, 0, now)
+	}
+}
+
+// exited takes in a task's exit.
+func (l *Leader) exited(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+	l.d.Log.Debug("task ended", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name, "cause", a.Cause, "saved", a.Saved)
+	if j == nil || a.ID.Task.Index >= j.spec.Pieces {
+		a.Settled = true
+		return
+	}
+	switch a.Cause {
+	case fleet.CauseDone:
+		l.finish(r, j, a, now)
+		return
+	case fleet.CauseError:
+		j.failures++
+		j.avoid[r.m.Name] = now.Add(tuning.AvoidFor)
+		j.notBefore = now.Add(min(tuning.RetryMax, tuning.RetryBase<<min(j.failures, 10)))
+		r.failed(j.spec.NameID)
+		if r.faulty() {
+			l.d.Log.Info("machine taken for faulty", "rig", r.m.Name)
+		}
+	case "alone", "mates_gone", "halted":
+	default:
+		// Refused: the worker knows better than our books; look again soon.
+		j.notBefore = now.Add(tuning.RetryBase)
+	}
+	a.Settled = true
+	l.lost(j, now)
+}
+
+// finish records a task's completion. The worker may forget it only once the
+// record stands.
+func (l *Leader) finish(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+	first := !j.did.has(a.ID.Task.Index)
+	if j.spec.Shape == intake.Gang {
+		// A gang's tasks complete together: one done, all done.
+		for i := 0; i < j.spec.Pieces; i++ {
+			j.did.set(i)
+		}
+	} else {
+		j.did.set(a.ID.Task.Index)
+	}
+	j.failures = 0
+	j.recount()
+	if first || j.spec.Shape == intake.Gang {
+		l.reserve(r, j, a, now)
+	}
+	// Another attempt of a task that is done has no purpose.
+	if j.spec.Shape != intake.Gang {
+		for _, s := range j.seats[a.ID.Task.Index] {
+			l.halt(s.rig, s.a, 0, now)
+		}
+	}
+	l.checkComplete(j)
+}
+
+// reserve applies the hold rule to the room that a finished task leaves.
+func (l *Leader) reserve(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+	f := reserve.Finish{
+		Pipeline: j.view.Pipeline(), Job: j.spec.NameID, Pieces: j.spec.Pieces, Started: j.started, Rig: r.m.Name, Now: now,
+	}
+	if f.Started.IsZero() {
+		f.Started = a.PlannedAt
+	}
+	if !a.RanAt.IsZero() {
+		f.Ran = now.Sub(a.RanAt)
+	}
+	if next := l.downstream(j); next != nil {
+		f.Next = &reserve.Downstream{Job: next.spec.NameID, Pieces: next.spec.Pieces, Priority: next.view.Priority, Need: placement.Need(next.spec)}
+		f.Fits = r.open(now) && placement.Allowed(&next.view, l.shape(r)) && l.room(r).Fits(f.Next.Need)
+	}
+	if l.book.Finished(f) {
+		r.lazy(now)
+		return
+	}
+	l.offer(r, now)
+}
+
+// offer gives freed room to stages that hold room from elsewhere.
+func (l *Leader) offer(r *rig, now time.Time) {
+	if !r.open(now) {
+		return
+	}
+	if l.book.Freed(r.m.Name, func(name string, need placement.Room) bool {
+		j := l.jobs[name]
+		return j != nil && placement.Allowed(&j.view, l.shape(r)) && l.room(r).Fits(need)
+	}, now) {
+		r.lazy(now)
+	}
+}
+
+// downstream is the pipeline's earliest job still waiting to start.
+func (l *Leader) downstream(up *job) *job {
+	var best *job
+	for _, j := range l.jobs {
+		if j == up || j.placed || j.view.Pipeline() != up.view.Pipeline() {
+			continue
+		}
+		if best == nil || j.stamp < best.stamp {
+			best = j
+		}
+	}
+	return best
+}
+
+func (l *Leader) stillWaits(name string) bool {
+	j := l.jobs[name]
+	return j != nil && len(j.seats) < j.spec.Pieces-j.doneN
+}
+
+// checkComplete starts the last record of a job whose tasks are all done.
+func (l *Leader) checkComplete(j *job) {
+	if j.doneN == j.spec.Pieces && !j.closing && !j.gone {
+		j.closing = true
+		l.committer.final = append(l.committer.final, j)
+	}
+}
+
+// settle lets workers forget the exits of a job's tasks that are recorded.
+func (l *Leader) settle(name string, recorded func(i int) bool) {
+	for _, r := range l.rigs {
+		for id, a := range r.m.Attempts {
+			if id.Task.Job == name && a.Status == fleet.Exited && a.Cause == fleet.CauseDone && recorded(id.Task.Index) {
+				a.Settled = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/rig.go
@@ -0,0 +1,426 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/placement"
+	"thornnotch/internal/tuning"
+)
+
+// image is one image on a machine, or on its way there.
+type image struct {
+	name string
+	gb   float64
+	have bool
+}
+
+// rig is one machine: the worker's session and what the leader keeps of it.
+type rig struct {
+	m     *fleet.Machine
+	stamp uint64 // revision of its record, 0 while there is none
+	since time.Time
+
+	// due is when its record must be written; zero when it is as it stands.
+	due     time.Time
+	writing bool
+
+	images  []image // least recently used first
+	errors  map[string]bool
+	waiter  *waiter
+	leaving bool // being returned; it gets no more tasks
+	// leavingSafe is set once the record says so, or none exists.
+	leavingSafe bool
+	returning   bool
+	idleSince   time.Time
+	calling     bool
+	callAgain   bool
+	speed       speedometer
+}
+
+// waiter is a report that has not been answered yet.
+type waiter struct {
+	shift uint64
+	until time.Time
+	reply chan<- Reply
+}
+
+// rig finds a machine, or makes a new one.
+func (l *Leader) rig(name string, now time.Time) *rig {
+	r := l.rigs[name]
+	if r == nil {
+		r = &rig{m: fleet.NewMachine(name), since: now, idleSince: now, errors: make(map[string]bool)}
+		l.rigs[name] = r
+	}
+	return r
+}
+
+// urgent asks for the record to be written at once, lazy within a while.
+func (r *rig) urgent() { r.due = time.Unix(1, 0) }
+
+func (r *rig) lazy(now time.Time) {
+	if r.due.IsZero() {
+		r.due = now.Add(tuning.RecordQuiet)
+	}
+}
+
+// failed notes that a job failed here. Only different jobs count: one that
+// was submitted with a mistake fails everywhere.
+func (r *rig) failed(job string) { r.errors[job] = true }
+
+func (r *rig) faulty() bool { return len(r.errors) >= tuning.BadMachineErrors }
+
+// open tells whether new tasks may be put on the machine.
+func (r *rig) open(now time.Time) bool {
+	return r.m.Known && !r.leaving && !r.faulty() && r.m.Recall.IsZero() && r.m.Shift > r.m.EndedShift
+}
+
+// record is what is written of the machine.
+func (l *Leader) record(r *rig) rigRecord {
+	rec := rigRecord{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Endpoint: r.m.Endpoint, Shift: r.m.Shift, Leaving: r.leaving}
+	for _, a := range r.m.Sorted() {
+		if a.Status != fleet.Exited {
+			rec.Attempts = append(rec.Attempts, attemptRec{a.ID.Task.String(), a.ID.Try, a.Shift})
+			if rec.Jobs == nil {
+				rec.Jobs = make(map[string]jobRec)
+			}
+			rec.Jobs[a.ID.Task.Job] = jobRec{l.ownerOf(a), recordRoom(l.needOf(a))}
+		}
+	}
+	for _, h := range l.book.On(r.m.Name) {
+		rec.Holds = append(rec.Holds, recordHold(h))
+	}
+	for _, im := range r.images {
+		if im.have {
+			rec.Images = append(rec.Images, imageRec{im.name, im.gb})
+		}
+	}
+	return rec
+}
+
+// encode makes the record fit the value limit; the images are only a hint
+// and go first.
+func (l *Leader) encode(r *rig) (json.RawMessage, error) {
+	rec := l.record(r)
+	limit := int(l.d.Settings.Params.State.ValueKB * 1024)
+	for {
+		raw, err := json.Marshal(rec)
+		if err != nil {
+			return nil, err
+		}
+		if len(raw) <= limit {
+			return raw, nil
+		}
+		switch {
+		case len(rec.Images) > 0:
+			rec.Images = nil
+		case len(rec.Holds) > 0:
+			rec.Holds = nil
+		default:
+			return raw, nil // MaxAttempts keeps it from coming to this
+		}
+	}
+}
+
+// noteImage follows which images are on the machine.
+func (l *Leader) noteImage(r *rig, j *job, a *fleet.Attempt) {
+	if j == nil {
+		return
+	}
+	have := a.Status == fleet.Waiting || a.Status == fleet.Running || a.Status == fleet.Saving ||
+		a.Status == fleet.Exited && a.Cause == fleet.CauseDone
+	if have {
+		r.touch(j.spec.Bundle, j.spec.ImageGB, true, l.cacheOf(r))
+	}
+}
+
+func (l *Leader) cacheOf(r *rig) float64 {
+	t, ok := l.d.Catalog().Type(r.m.Type)
+	if !ok {
+		return 0
+	}
+	return t.CacheGB
+}
+
+// touch marks an image as used last and drops what no longer fits.
+func (r *rig) touch(name string, gb float64, have bool, cache float64) {
+	for i, im := range r.images {
+		if im.name == name {
+			have = have || im.have
+			r.images = append(r.images[:i], r.images[i+1:]...)
+			break
+		}
+	}
+	r.images = append(r.images, image{name, gb, have})
+	sum := 0.0
+	for i := len(r.images) - 1; i >= 0; i-- {
+		sum += r.images[i].gb
+		if cache > 0 && sum > cache && i < len(r.images)-1 {
+			r.images = append([]image(nil), r.images[i+1:]...)
+			return
+		}
+	}
+}
+
+// room is what is free on the machine beside its tasks and holds.
+func (l *Leader) room(r *rig) placement.Room {
+	t, ok := l.d.Catalog().Type(r.m.Type)
+	if !ok {
+		return placement.Room{}
+	}
+	f := placement.Room{VCPUs: t.VCPUs, GPUs: t.Accelerators, RAM: t.RAMGB}.Sub(l.used(r))
+	for _, h := range l.book.On(r.m.Name) {
+		f = f.Sub(h.Room)
+	}
+	return f
+}
+
+// used is what the machine's attempts take.
+func (l *Leader) used(r *rig) (sum placement.Room) {
+	for _, a := range r.m.Attempts {
+		if a.Live() {
+			sum = sum.Add(l.needOf(a))
+		}
+	}
+	return sum
+}
+
+// needOf is what an attempt takes. One whose job is gone is remembered by
+// size, as it still occupies its machine.
+func (l *Leader) needOf(a *fleet.Attempt) placement.Room {
+	if j := l.jobs[a.ID.Task.Job]; j != nil {
+		return placement.Need(j.spec)
+	}
+	return l.ghosts[a.ID.Task.Job].need
+}
+
+// ownerOf is the team that an attempt counts for.
+func (l *Leader) ownerOf(a *fleet.Attempt) string {
+	if j := l.jobs[a.ID.Task.Job]; j != nil {
+		return j.spec.Owner
+	}
+	return l.ghosts[a.ID.Task.Job].owner
+}
+
+// ghost is what is remembered of a job that is over while attempts of it may
+// still be on machines.
+type ghost struct {
+	owner string
+	need  placement.Room
+}
+
+// shape is the machine as the job rules see it.
+func (l *Leader) shape(r *rig) *placement.Rig {
+	return &placement.Rig{Name: r.m.Name, Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
+}
+
+// press sends stops and news of the token straight to a worker, so that they
+// need not wait for its next report.
+func (l *Leader) press(r *rig, now time.Time) {
+	due := false
+	for _, a := range r.m.Attempts {
+		if a.Halt && a.Status != fleet.Exited && (a.Sent || a.Inherited) && now.Sub(a.Pressed) >= tuning.StopResend {
+			due = true
+		}
+	}
+	if !due {
+		return
+	}
+	var orders []fleet.Order
+	for _, o := range r.m.Orders(false) {
+		if o.Verb == fleet.Stop {
+			orders = append(orders, o)
+		}
+	}
+	for _, a := range r.m.Attempts {
+		if a.Halt {
+			a.Pressed = now
+		}
+	}
+	l.command(r, orders, now)
+}
+
+// command sends orders to a worker's own address. They may arrive minutes
+// late, so only stops go this way: a late stop names an attempt that is never
+// started again.
+func (l *Leader) command(r *rig, orders []fleet.Order, now time.Time) {
+	if r.m.Endpoint == "" || r.m.Shift == 0 {
+		return
+	}
+	if orders == nil {
+		orders = []fleet.Order{}
+	}
+	a := fleet.Answer{Warrant: l.grant.Term, Shift: r.m.Shift, Orders: orders}
+	endpoint := r.m.Endpoint
+	l.tasks.Go(func() error {
+		rep, err := l.d.Workers.Command(l.ctx, endpoint, a)
+		if err != nil || rep == nil {
+			l.d.Log.Debug("direct order failed", "rig", r.m.Name, "err", err)
+			return nil
+		}
+		l.do(l.ctx, func() {
+			if l.rigs[r.m.Name] == r && rep.Rig == r.m.Name {
+				l.observe(r, rep, true, time.Now())
+			}
+		})
+		return nil
+	})
+}
+
+// observe takes in a report, by whichever way it came.
+func (l *Leader) observe(r *rig, rep *fleet.Report, direct bool, now time.Time) (fresh bool) {
+	if rep.Warrant > l.grant.Term {
+		l.end(errDeposed)
+		return false
+	}
+	known := r.m.Known
+	before := r.m.Shift
+	ev, fresh := r.m.Observe(rep, l.grant.Term, direct, now)
+	if !fresh {
+		return false
+	}
+	if !known {
+		l.dirty = true
+		l.arrived(r, now)
+	}
+	if before != r.m.Shift {
+		if before != 0 && len(ev) > 0 {
+			l.d.Log.Info("machine began a new session", "rig", r.m.Name, "shift", r.m.Shift, "lost", len(ev))
+		}
+		r.images = keepImages(r.images)
+		l.dirty = true
+	}
+	l.events(r, ev, now)
+	if !r.m.Recall.IsZero() {
+		l.drain(r, now)
+	}
+	return true
+}
+
+// keepImages drops fetches that ended with the session.
+func keepImages(in []image) (out []image) {
+	for _, im := range in {
+		if im.have {
+			out = append(out, im)
+		}
+	}
+	return out
+}
+
+// drain stops what runs on a machine that the cloud takes away, while there
+// is time to save. A notice may be half as long as it says.
+func (l *Leader) drain(r *rig, now time.Time) {
+	for _, a := range r.m.Sorted() {
+		if a.Halt || !a.Live() {
+			continue
+		}
+		j := l.jobs[a.ID.Task.Job]
+		if j == nil {
+			l.halt(r, a, 0, now)
+			continue
+		}
+		grace := j.spec.StashS + tuning.StopGrace.Seconds()
+		if j.spec.Shape == intake.Gang {
+			l.haltGang(j, grace, now)
+		} else {
+			l.halt(r, a, grace, now)
+		}
+	}
+	if len(l.book.On(r.m.Name)) > 0 {
+		l.book.Drop(r.m.Name)
+		r.lazy(now)
+	}
+}
+
+// speedometer follows how fast a machine gets through its tasks, against the
+// owners' estimates corrected by what the same class takes elsewhere.
+type speedometer struct {
+	runs  int
+	ratio float64
+}
+
+func (s *speedometer) add(ratio float64) {
+	s.runs++
+	s.ratio += (ratio - s.ratio) / float64(min(s.runs, 6))
+}
+
+// Reply is the answer to a report.
+type Reply struct {
+	Status int
+	Answer fleet.Answer
+}
+
+// Hello answers a worker's report. The answer may be kept back for a moment
+// so that orders can go with it.
+func (l *Leader) Hello(ctx context.Context, rep *fleet.Report) (Reply, bool) {
+	ch := make(chan Reply, 1)
+	arrived := time.Now()
+	if !l.do(ctx, func() { l.hello(rep, arrived, ch) }) {
+		return Reply{}, false
+	}
+	select {
+	case a := <-ch:
+		return a, a.Status != 0
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	return Reply{}, false
+}
+
+func (l *Leader) hello(rep *fleet.Report, arrived time.Time, ch chan<- Reply) {
+	now := time.Now()
+	if now.Sub(l.sure) > l.certainty {
+		// Another node may have accepted a cancellation that we can't know
+		// of; the workers' leases must run out before its time is up.
+		ch <- Reply{Status: 503}
+		return
+	}
+	r := l.rig(rep.Rig, now)
+	fresh := l.observe(r, rep, false, now)
+	if l.ended != nil {
+		ch <- Reply{}
+		return
+	}
+	if !fresh && (rep.Shift != r.m.Shift || rep.Shift <= r.m.EndedShift) {
+		ch <- Reply{Status: 503}
+		return
+	}
+	r.m.Answered = arrived
+	if r.waiter != nil {
+		// The worker has given up the earlier report.
+		r.waiter.reply <- Reply{Status: 503}
+	}
+	hold := tuning.AnswerHold
+	if len(r.m.Attempts) == 0 {
+		hold = min(tuning.IdleHold, l.lease/4)
+	}
+	r.waiter = &waiter{shift: rep.Shift, until: arrived.Add(hold), reply: ch}
+}
+
+// flush answers the reports that have waited long enough or that orders can
+// go with.
+func (l *Leader) flush(now time.Time) {
+	for _, r := range l.rigs {
+		w := r.waiter
+		if w == nil {
+			continue
+		}
+		if w.shift != r.m.Shift {
+			w.reply <- Reply{Status: 503}
+			r.waiter = nil
+			continue
+		}
+		if !r.m.HasOrders() && now.Before(w.until) {
+			continue
+		}
+		orders := r.m.Orders(true)
+		if orders == nil {
+			orders = []fleet.Order{}
+		}
+		w.reply <- Reply{Status: 200, Answer: fleet.Answer{Warrant: l.grant.Term, Orders: orders}}
+		r.waiter = nil
+	}
+}
--- /dev/null
+++ b/internal/leader/sched.go
@@ -0,0 +1,223 @@
+package leader
+
+import (
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/placement"
+	"thornnotch/internal/tuning"
+)
+
+// waitingShown bounds how many waiting tasks of a job one pass looks at.
+const waitingShown = 400
+
+// pass runs placement over the present state and books what it decides.
+func (l *Leader) pass(now time.Time) {
+	l.dirty = false
+	l.lastPass = now
+	if !l.loaded || l.d.Catalog() == nil || l.committer.backoff > 0 {
+		// Without records no decision that needs one is made.
+		return
+	}
+	w, jobs := l.world(now)
+	plan := placement.Decide(w)
+	for _, e := range plan.Evicts {
+		l.evict(e, now)
+	}
+	l.place(plan, jobs, now)
+	l.market.unmet(plan.Unmet, now)
+}
+
+// world shows the present state to placement.
+func (l *Leader) world(now time.Time) (*placement.World, map[string]*job) {
+	w := &placement.World{Now: now, Teams: make(map[string]*placement.Team)}
+	for _, t := range l.teams {
+		w.Teams[t.Name] = &placement.Team{Name: t.Name,
+			Guarantee: placement.Room{VCPUs: t.CPUs, GPUs: t.GPUs}, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}}
+	}
+	use := func(owner string, room placement.Room) {
+		if t := w.Teams[owner]; t != nil {
+			t.Used = t.Used.Add(room)
+		}
+	}
+	var all []*placement.Job
+	for _, j := range l.jobs {
+		if j.closing {
+			continue
+		}
+		l.show(j, now)
+		all = append(all, &j.view)
+	}
+	placement.MarkGuaranteed(all, w.Teams)
+	for _, v := range all {
+		if len(v.Waiting) > 0 {
+			w.Jobs = append(w.Jobs, v)
+		}
+	}
+	cat := l.d.Catalog()
+	for _, r := range l.rigs {
+		typ, ok := cat.Type(r.m.Type)
+		pr := l.shape(r)
+		pr.Open = ok && r.open(now) && len(r.m.Attempts) < tuning.MaxAttempts
+		pr.Total = placement.Room{VCPUs: typ.VCPUs, GPUs: typ.Accelerators, RAM: typ.RAMGB}
+		pr.Pull = typ.PullGBPerS
+		pr.Cached = make(map[string]time.Duration, len(r.images))
+		for _, im := range r.images {
+			if im.have {
+				pr.Cached[im.name] = 0
+			}
+		}
+		for _, a := range r.m.Attempts {
+			if !a.Live() {
+				continue
+			}
+			room := l.needOf(a)
+			use(l.ownerOf(a), room)
+			s := placement.Slot{Index: a.ID.Task.Index, Try: a.ID.Try, Room: room, Ending: a.Halt}
+			if j := l.jobs[a.ID.Task.Job]; j != nil {
+				s.Job = &j.view
+				s.Left, s.Loss = l.outlook(j, a, now)
+				if _, have := pr.Cached[j.spec.Bundle]; !have && (a.Status == "" || a.Status == fleet.Fetching) && typ.PullGBPerS > 0 {
+					pr.Fetching++
+					full := j.spec.ImageGB / typ.PullGBPerS * float64(pr.Fetching)
+					pr.Cached[j.spec.Bundle] = max(time.Second, time.Duration(full*float64(time.Second))-now.Sub(a.PlannedAt))
+				}
+			}
+			pr.Slots = append(pr.Slots, s)
+		}
+		for _, h := range l.book.On(r.m.Name) {
+			pr.Held = append(pr.Held, placement.Held{Pipeline: h.Pipeline, Priority: h.Priority, Room: h.Room})
+			use(h.Pipeline.Owner, h.Room)
+		}
+		w.Rigs = append(w.Rigs, pr)
+	}
+	return w, l.jobs
+}
+
+// show brings a job's view for placement up to date.
+func (l *Leader) show(j *job, now time.Time) {
+	v := &j.view
+	v.Waiting = v.Waiting[:0]
+	v.Blocked = now.Before(j.notBefore)
+	v.Zones = make(map[string]int)
+	for _, seats := range j.seats {
+		for _, s := range seats {
+			v.Zones[s.rig.m.Zone]++
+		}
+	}
+	v.Avoid = nil
+	for name, until := range j.avoid {
+		if now.After(until) {
+			delete(j.avoid, name)
+			continue
+		}
+		if v.Avoid == nil {
+			v.Avoid = make(map[string]bool)
+		}
+		v.Avoid[name] = true
+	}
+	if j.spec.Shape == intake.Gang {
+		// A gang starts as a whole, and not before the last task of an
+		// earlier attempt is proven gone.
+		if len(j.seats) == 0 && j.doneN < j.spec.Pieces {
+			for i := 0; i < j.spec.Pieces; i++ {
+				v.Waiting = append(v.Waiting, i)
+			}
+		}
+		return
+	}
+	first := true
+	for i := j.low; i < j.spec.Pieces && len(v.Waiting) < waitingShown; i++ {
+		if j.did.has(i) || len(j.seats[i]) > 0 {
+			continue
+		}
+		if first {
+			j.low, first = i, false
+		}
+		v.Waiting = append(v.Waiting, i)
+	}
+	if first {
+		j.low = j.spec.Pieces
+	}
+}
+
+// outlook estimates how long an attempt goes on, and what stopping it throws
+// away.
+func (l *Leader) outlook(j *job, a *fleet.Attempt, now time.Time) (left, loss time.Duration) {
+	expect := time.Duration(j.spec.ExpectS * float64(time.Second))
+	if a.RanAt.IsZero() {
+		return expect, 0
+	}
+	ran := now.Sub(a.RanAt)
+	left = max(expect-ran, 5*time.Second)
+	if j.spec.SnapshotS > 0 {
+		loss = time.Duration(j.spec.StashS*float64(time.Second)) + tuning.StopGrace
+	} else {
+		loss = ran
+	}
+	if j.spec.Shape == intake.Gang {
+		loss *= time.Duration(j.spec.Pieces)
+	}
+	return left, loss
+}
+
+// evict stops a task to make room; a gang goes as a whole.
+func (l *Leader) evict(e placement.Evict, now time.Time) {
+	r := l.rigs[e.Rig.Name]
+	if r == nil || e.Slot.Job == nil {
+		return
+	}
+	j := l.jobs[e.Slot.Job.Spec.NameID]
+	if j == nil {
+		return
+	}
+	l.d.Log.Debug("makes room", "piece", fleet.TaskID{Job: j.spec.NameID, Index: e.Slot.Index}, "rig", r.m.Name, "for", e.For.Spec.NameID)
+	grace := j.spec.StashS + tuning.StopGrace.Seconds()
+	if j.spec.Shape == intake.Gang {
+		l.haltGang(j, grace, now)
+		return
+	}
+	for _, s := range j.seats[e.Slot.Index] {
+		if s.rig == r && s.a.ID.Try == e.Slot.Try {
+			l.halt(r, s.a, grace, now)
+		}
+	}
+	l.press(r, now)
+}
+
+// place turns the starts of a plan into attempts. Their `run` leaves only once
+// the machines' records with them stand.
+func (l *Leader) place(plan *placement.Plan, jobs map[string]*job, now time.Time) {
+	gangTry := make(map[string]uint64)
+	for _, s := range plan.Starts {
+		j := jobs[s.Job.Spec.NameID]
+		r := l.rigs[s.Rig.Name]
+		if j == nil || r == nil {
+			continue
+		}
+		try, ok := gangTry[j.spec.NameID]
+		if !ok {
+			l.tries++
+			if l.tries >= 1<<tuning.TryBits {
+				l.end(errTriesUsed)
+				return
+			}
+			try = l.grant.Term<<tuning.TryBits | l.tries
+			if j.spec.Shape == intake.Gang {
+				gangTry[j.spec.NameID] = try
+			}
+		}
+		a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: j.spec.NameID, Index: s.Index}, Try: try},
+			Shift: r.m.Shift, PlannedAt: now}
+		r.m.Attempts[a.ID] = a
+		l.occupy(r, a)
+		if l.book.Use(r.m.Name, j.view.Pipeline()) {
+			l.d.Log.Debug("hold used", "rig", r.m.Name, "job", j.spec.NameID)
+		}
+		l.book.Override(r.m.Name, s.Rig.Total.Sub(l.used(r)))
+		r.touch(j.spec.Bundle, j.spec.ImageGB, false, l.cacheOf(r))
+		r.urgent()
+		l.d.Log.Debug("placed", "piece", a.ID.Task, "try", try, "rig", r.m.Name)
+	}
+}
--- /dev/null
+++ b/internal/leader/trade.go
@@ -0,0 +1,321 @@
+package leader
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"thornnotch/internal/market"
+	"thornnotch/internal/placement"
+	"thornnotch/internal/tuning"
+)
+
+// marketState is what the leader knows of renting.
+type marketState struct {
+	busy    bool
+	hires   uint64
+	listed  time.Time
+	listing bool
+	// booting are machines rented that have not reported yet.
+	booting map[string]booting
+	refused map[market.Pool]time.Time
+	waiting []*placement.Job
+	// returned are machines given back, which lists may still show.
+	returned map[string]time.Time
+}
+
+type booting struct {
+	pool  market.Pool
+	since time.Time
+}
+
+func (m *marketState) init() {
+	m.booting = make(map[string]booting)
+	m.refused = make(map[market.Pool]time.Time)
+	m.returned = make(map[string]time.Time)
+}
+
+func (m *marketState) unmet(jobs []*placement.Job, _ time.Time) { m.waiting = jobs }
+
+// arrived is called when a machine reports for the first time in this term.
+func (l *Leader) arrived(r *rig, now time.Time) {
+	if b, ok := l.market.booting[r.m.Name]; ok {
+		l.d.Log.Info("machine up", "rig", r.m.Name, "zone", r.m.Zone, "spot", r.m.Spot, "after_s", math.Round(now.Sub(b.since).Seconds()))
+		delete(l.market.booting, r.m.Name)
+	}
+	r.idleSince = now
+}
+
+// trade runs the dealings with the cloud: one call at a time.
+func (l *Leader) trade(now time.Time) {
+	m := &l.market
+	for name := range l.ghosts {
+		if !l.haunts(name) {
+			delete(l.ghosts, name)
+		}
+	}
+	for _, r := range l.rigs {
+		if len(r.m.Attempts) > 0 {
+			r.idleSince = now
+		}
+	}
+	for name, at := range m.returned {
+		if now.Sub(at) > 10*time.Minute {
+			delete(m.returned, name)
+		}
+	}
+	l.retireRigs(now)
+	if m.busy {
+		return
+	}
+	if names := l.returns(now); len(names) > 0 {
+		l.giveBack(names, now)
+		return
+	}
+	if now.Sub(m.listed) > l.listEvery() {
+		l.list(now)
+		return
+	}
+	if req, pool, ok := l.wanted(now); ok {
+		l.rent(req, pool, now)
+	}
+}
+
+// haunts tells whether any attempt of a job may still be on a machine.
+func (l *Leader) haunts(job string) bool {
+	for _, r := range l.rigs {
+		for id, a := range r.m.Attempts {
+			if id.Task.Job == job && a.Live() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (l *Leader) listEvery() time.Duration {
+	return max(time.Duration(l.d.Settings.Params.Cloud.ListLagS*float64(time.Second)), 3*time.Second)
+}
+
+// retireRigs marks machines that must be returned as leaving.
+func (l *Leader) retireRigs(now time.Time) {
+	for _, r := range l.rigs {
+		if r.leaving {
+			continue
+		}
+		why := ""
+		silent := now.Sub(r.m.Heard)
+		if !r.m.Known {
+			silent = now.Sub(r.since)
+		}
+		switch {
+		case silent > l.lease+tuning.SilentReturn:
+			why = "silent"
+		case r.faulty() && len(r.m.Attempts) == 0:
+			why = "faulty"
+		}
+		if why != "" {
+			l.leave(r, why, now)
+		}
+	}
+}
+
+// leave starts the return of a machine: first its record says so, then the
+// cloud is told.
+func (l *Leader) leave(r *rig, why string, now time.Time) {
+	l.d.Log.Info("machine to be returned", "rig", r.m.Name, "why", why)
+	r.leaving = true
+	r.leavingSafe = false
+	l.book.Drop(r.m.Name)
+	r.urgent()
+	l.drain(r, now)
+	l.dirty = true
+}
+
+// returns names the machines to give back now.
+func (l *Leader) returns(now time.Time) (names []string) {
+	for _, r := range l.rigs {
+		if !r.leaving || !r.leavingSafe {
+			continue
+		}
+		// Tasks that can still save get the time to.
+		silent := now.Sub(r.m.Heard) > l.lease
+		if r.m.Known && !silent && l.busy(r) {
+			continue
+		}
+		names = append(names, r.m.Name)
+	}
+	for name, b := range l.market.booting {
+		typ, _ := l.d.Catalog().Type(b.pool.Type)
+		if limit := time.Duration(typ.ReadyS * tuning.BootPatience * float64(time.Second)); now.Sub(b.since) > limit && l.rigs[name] == nil {
+			l.d.Log.Info("machine never came up", "rig", name)
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names[:min(len(names), tuning.ReturnBatch)]
+}
+
+func (l *Leader) busy(r *rig) bool {
+	for _, a := range r.m.Attempts {
+		if a.Live() {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Leader) giveBack(names []string, now time.Time) {
+	m := &l.market
+	m.busy = true
+	l.tasks.Go(func() error {
+		err := l.d.Cloud.Return(l.ctx, names)
+		l.do(l.ctx, func() {
+			now := time.Now()
+			m.busy = false
+			if err != nil {
+				l.d.Log.Debug("return failed", "err", err)
+				return
+			}
+			for _, name := range names {
+				delete(m.booting, name)
+				m.returned[name] = now
+				r := l.rigs[name]
+				if r == nil {
+					continue
+				}
+				// The cloud's word is the strongest proof: all is gone.
+				l.events(r, r.m.Returned(), now)
+				if r.waiter != nil {
+					r.waiter.reply <- Reply{Status: 503}
+				}
+				delete(l.rigs, name)
+				if r.stamp != 0 {
+					l.committer.sweep(rigPrefix+name, r.stamp)
+				}
+			}
+			l.dirty = true
+		})
+		return nil
+	})
+}
+
+func (l *Leader) list(now time.Time) {
+	m := &l.market
+	m.busy = true
+	l.tasks.Go(func() error {
+		hosts, err := l.d.Cloud.List(l.ctx)
+		l.do(l.ctx, func() {
+			now := time.Now()
+			m.busy = false
+			m.listed = now
+			if err != nil {
+				l.d.Log.Debug("list failed", "err", err)
+				return
+			}
+			l.listed(hosts, now)
+		})
+		return nil
+	})
+}
+
+// listed takes in the cloud's list. It lags and may go backwards: what is
+// absent from it proves nothing.
+func (l *Leader) listed(hosts []market.Host, now time.Time) {
+	m := &l.market
+	for _, h := range hosts {
+		if _, gone := m.returned[h.NameID]; gone {
+			continue
+		}
+		r := l.rigs[h.NameID]
+		switch {
+		case h.Status == "failed":
+			if r == nil {
+				r = l.rig(h.NameID, now)
+				r.m.Type, r.m.Zone, r.m.Spot = h.RigType, h.Hall, h.Loaners
+			}
+			delete(m.booting, h.NameID)
+			if !r.leaving {
+				l.leave(r, "failed", now)
+			}
+		case r != nil:
+			if r.m.Endpoint == "" {
+				r.m.Endpoint = h.Endpoint
+			}
+		default:
+			if _, known := m.booting[h.NameID]; !known {
+				since := now.Add(-time.Duration(h.HeldS * float64(time.Second)))
+				m.booting[h.NameID] = booting{market.Pool{Type: h.RigType, Zone: h.Hall, Spot: h.Loaners}, since}
+			}
+		}
+	}
+}
+
+func (l *Leader) rent(req market.Request, pool market.Pool, now time.Time) {
+	m := &l.market
+	m.busy = true
+	m.hires++
+	req.Hire = fmt.Sprintf("r-%d-%d", l.grant.Term, m.hires)
+	l.tasks.Go(func() error {
+		names, err := l.d.Cloud.Rent(l.ctx, req)
+		l.do(l.ctx, func() {
+			now := time.Now()
+			m.busy = false
+			switch {
+			case errors.Is(err, market.ErrNoCapacity):
+				m.refused[pool] = now.Add(tuning.RefusedPause)
+			case err != nil:
+				m.refused[pool] = now.Add(tuning.RefusedPause / 4)
+				l.d.Log.Info("renting failed", "err", err)
+			default:
+				l.d.Log.Info("rented", "type", pool.Type, "zone", pool.Zone, "spot", pool.Spot, "asked", req.Count, "got", len(names))
+				for _, name := range names {
+					if l.rigs[name] == nil {
+						m.booting[name] = booting{pool, now}
+					}
+				}
+				if len(names) < req.Count {
+					m.refused[pool] = now.Add(tuning.RefusedPause)
+				}
+			}
+		})
+		return nil
+	})
+}
+
+// wanted names the next machines to rent, if any.
+func (l *Leader) wanted(now time.Time) (market.Request, market.Pool, bool) {
+	cat := l.d.Catalog()
+	if cat == nil || !l.loaded {
+		return market.Request{}, market.Pool{}, false
+	}
+	v := market.View{Catalog: cat, Have: make(map[market.Pool]int), Refused: make(map[market.Pool]bool)}
+	for _, r := range l.rigs {
+		if !r.leaving && !r.faulty() && r.m.Recall.IsZero() {
+			v.Have[market.Pool{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}]++
+		}
+	}
+	for _, b := range l.market.booting {
+		v.Have[b.pool]++
+	}
+	for p, until := range l.market.refused {
+		if now.Before(until) {
+			v.Refused[p] = true
+		}
+	}
+	for _, j := range l.jobs {
+		left := j.spec.Pieces - j.doneN
+		if left <= 0 {
+			continue
+		}
+		v.Demand = append(v.Demand, market.Demand{Owner: j.spec.Owner, Pieces: left, Need: placement.Need(j.spec),
+			Spot: j.spec.Loaners, Types: j.spec.RigTypes, Zone: j.spec.Hall})
+	}
+	for _, t := range l.teams {
+		v.Limits = append(v.Limits, market.Limit{Owner: t.Name, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}})
+	}
+	req, ok := market.Next(v)
+	return req, market.Pool{Type: req.RigType, Zone: req.Hall, Spot: req.Loaners}, ok
+}
--- /dev/null
+++ b/internal/ledger/budget.go
@@ -0,0 +1,111 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"thornnotch/internal/tuning"
+)
+
+// Class is the importance of a call. When tokens run short, the less
+// important classes wait first.
+type Class int
+
+// Classes of calls, most important first.
+const (
+	Lease Class = iota
+	Cancel
+	Submit
+	Record
+	Poll
+	Hold
+)
+
+func (c Class) reserve() float64 {
+	switch c {
+	case Lease:
+		return tuning.ReserveLease
+	case Cancel:
+		return tuning.ReserveCancel
+	case Submit:
+		return tuning.ReserveSubmit
+	case Record:
+		return tuning.ReserveRecord
+	case Poll:
+		return tuning.ReservePoll
+	default:
+		return tuning.ReserveHold
+	}
+}
+
+// Budget hands out tokens for requests and for changes. A call may draw only
+// while the bucket keeps the reserve of its class for more important calls.
+type Budget struct {
+	mu       sync.Mutex
+	requests *rate.Limiter
+	writes   *rate.Limiter
+}
+
+// NewBudget makes a budget of the given rates per second.
+func NewBudget(rps, writeRPS float64) *Budget {
+	return &Budget{
+		requests: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		writes:   rate.NewLimiter(rate.Limit(writeRPS), max(1, int(writeRPS))),
+	}
+}
+
+// SetShare changes the rates, as when a node takes or loses the lead.
+func (b *Budget) SetShare(rps, writeRPS float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests.SetLimit(rate.Limit(rps))
+	b.requests.SetBurst(max(1, int(rps)))
+	b.writes.SetLimit(rate.Limit(writeRPS))
+	b.writes.SetBurst(max(1, int(writeRPS)))
+}
+
+// Take draws one request and n changes, waiting for them as long as ctx lasts.
+func (b *Budget) Take(ctx context.Context, c Class, n int) error {
+	for {
+		if b.try(c, n) {
+			return nil
+		}
+		t := time.NewTimer(tuning.BudgetPoll)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+func (b *Budget) try(c Class, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	// A transaction larger than the bucket less its reserve may go out of a
+	// full bucket; otherwise it would wait for ever.
+	enough := func(l *rate.Limiter, n float64) bool {
+		burst := float64(l.Burst())
+		return l.TokensAt(now) >= min(n+c.reserve()*burst, burst)
+	}
+	if c != Lease && (!enough(b.requests, 1) || n > 0 && !enough(b.writes, float64(n))) {
+		return false
+	}
+	b.requests.ReserveN(now, 1)
+	if n > 0 {
+		b.writes.ReserveN(now, min(n, b.writes.Burst()))
+	}
+	return true
+}
+
+// Left tells the tokens now in both buckets.
+func (b *Budget) Left() (requests, writes float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.requests.Tokens(), b.writes.Tokens()
+}
--- /dev/null
+++ b/internal/ledger/client.go
@@ -0,0 +1,304 @@
+// Package ledger talks to the state service, the only place where the nodes
+// can keep state, and rations the calls to it.
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"thornnotch/internal/tuning"
+)
+
+// Errors that callers tell apart.
+var (
+	// ErrUnavailable: the request was not executed (503 or 429).
+	ErrUnavailable = errors.New("state service unavailable")
+	// ErrUnknown: no usable answer; the request may have been, or may yet
+	// be, executed.
+	ErrUnknown = errors.New("state service gave no answer")
+	// ErrNoLease: the lease has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrCompacted: the watch's start is too old; the keys must be read again.
+	ErrCompacted = errors.New("watch start too old")
+)
+
+// Row is one key with its value and the revision of its last change.
+type Row struct {
+	K     string          `json:"k"`
+	V     json.RawMessage `json:"v"`
+	Stamp uint64          `json:"stamp"`
+}
+
+// Cond demands that a key has this revision; 0 means that it does not exist.
+type Cond struct {
+	K     string `json:"k"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Write sets or removes a key.
+type Write struct {
+	Set    string          `json:"set,omitempty"`
+	V      json.RawMessage `json:"v,omitempty"`
+	Tenure uint64          `json:"tenure,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+}
+
+// Change is one entry of a watch's log.
+type Change struct {
+	Set    string          `json:"set"`
+	V      json.RawMessage `json:"v"`
+	Remove string          `json:"remove"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+// Conflict reports the conditions that did not hold. Nothing was written.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conflict on %v", c.Failed) }
+
+// Has tells whether the condition on key failed.
+func (c *Conflict) Has(key string) bool {
+	for _, k := range c.Failed {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Client is safe for use by many routines.
+type Client struct {
+	base   string
+	http   *http.Client
+	Budget *Budget
+}
+
+// New makes a client of the service at addr.
+func New(addr string, budget *Budget) *Client {
+	dialer := &net.Dialer{Timeout: tuning.StateTimeout}
+	return &Client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     tuning.StateConns,
+			MaxIdleConnsPerHost: tuning.StateConns,
+			DisableCompression:  true,
+		}},
+		Budget: budget,
+	}
+}
+
+// call sends one request and decodes a 200 into out. Other statuses come
+// back as they are.
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return 0, nil, fmt.Errorf("encode %s: %w", path, err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w: %w", method, path, ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s %s: %w: %w", method, path, ErrUnknown, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if out != nil {
+			if err := json.Unmarshal(raw, out); err != nil {
+				return 0, nil, fmt.Errorf("%s %s: %w: bad answer: %w", method, path, ErrUnknown, err)
+			}
+		}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return resp.StatusCode, raw, fmt.Errorf("%s %s: %w (%d)", method, path, ErrUnavailable, resp.StatusCode)
+	}
+	return resp.StatusCode, raw, nil
+}
+
+func unexpected(method, path string, status int, raw []byte) error {
+	return fmt.Errorf("%s %s: %w: status %d: %.120s", method, path, ErrUnknown, status, raw)
+}
+
+// Get reads one key; found is false when it does not exist.
+func (c *Client) Get(ctx context.Context, class Class, key string) (row Row, found bool, err error) {
+	if err := c.Budget.Take(ctx, class, 0); err != nil {
+		return Row{}, false, fmt.Errorf("get %s: %w: %w", key, ErrUnavailable, err)
+	}
+	path := "/store/" + key
+	status, raw, err := c.call(ctx, tuning.StateTimeout, http.MethodGet, path, nil, &row)
+	switch {
+	case err != nil:
+		return Row{}, false, err
+	case status == http.StatusOK:
+		return row, true, nil
+	case status == http.StatusNotFound:
+		return Row{}, false, nil
+	}
+	return Row{}, false, unexpected(http.MethodGet, path, status, raw)
+}
+
+// List reads all keys below prefix. The revision is that of the first page,
+// so a watch from it sees every change made while the pages were read.
+func (c *Client) List(ctx context.Context, class Class, prefix string) (rows []Row, epoch uint64, err error) {
+	from := ""
+	for {
+		if err := c.Budget.Take(ctx, class, 0); err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w: %w", prefix, ErrUnavailable, err)
+		}
+		q := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(tuning.ListPage)}}
+		if from != "" {
+			q.Set("from", from)
+		}
+		path := "/store?" + q.Encode()
+		var page struct {
+			Rows    []Row  `json:"rows"`
+			HasNext bool   `json:"hasNext"`
+			Epoch   uint64 `json:"epoch"`
+		}
+		status, raw, err := c.call(ctx, 2*tuning.StateTimeout, http.MethodGet, path, nil, &page)
+		if err != nil {
+			return nil, 0, err
+		}
+		if status != http.StatusOK {
+			return nil, 0, unexpected(http.MethodGet, path, status, raw)
+		}
+		if from == "" {
+			epoch = page.Epoch
+		}
+		rows = append(rows, page.Rows...)
+		if !page.HasNext || len(page.Rows) == 0 {
+			return rows, epoch, nil
+		}
+		from = page.Rows[len(page.Rows)-1].K
+	}
+}
+
+// Multi runs a transaction. A *Conflict means that conditions failed and
+// nothing was written; ErrUnknown that it may or may not have been.
+func (c *Client) Multi(ctx context.Context, class Class, when []Cond, writes []Write) (epoch uint64, err error) {
+	if err := c.Budget.Take(ctx, class, len(writes)); err != nil {
+		return 0, fmt.Errorf("multi: %w: %w", ErrUnavailable, err)
+	}
+	in := struct {
+		When   []Cond  `json:"when"`
+		Writes []Write `json:"writes,omitempty"`
+	}{when, writes}
+	var out struct {
+		Epoch uint64 `json:"epoch"`
+	}
+	status, raw, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, "/multi", in, &out)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == http.StatusOK:
+		return out.Epoch, nil
+	case status == http.StatusConflict:
+		var f struct {
+			Failed []string `json:"failed"`
+		}
+		if err := json.Unmarshal(raw, &f); err != nil || len(f.Failed) == 0 {
+			return 0, unexpected(http.MethodPost, "/multi", status, raw)
+		}
+		return 0, &Conflict{Failed: f.Failed}
+	case status == http.StatusBadRequest && bytes.Contains(raw, []byte("no such lease")):
+		return 0, ErrNoLease
+	}
+	return 0, unexpected(http.MethodPost, "/multi", status, raw)
+}
+
+// Acquire makes a lease.
+func (c *Client) Acquire(ctx context.Context, ttl time.Duration) (tenure uint64, err error) {
+	if err := c.Budget.Take(ctx, Lease, 0); err != nil {
+		return 0, fmt.Errorf("lease: %w: %w", ErrUnavailable, err)
+	}
+	in := struct {
+		TTL int64 `json:"ttlMs"`
+	}{ttl.Milliseconds()}
+	var out struct {
+		Tenure uint64 `json:"tenure"`
+	}
+	status, raw, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, "/holds", in, &out)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK || out.Tenure == 0 {
+		return 0, unexpected(http.MethodPost, "/holds", status, raw)
+	}
+	return out.Tenure, nil
+}
+
+// Renew keeps a lease alive; ErrNoLease means that it has ended.
+func (c *Client) Renew(ctx context.Context, tenure uint64) error {
+	if err := c.Budget.Take(ctx, Lease, 0); err != nil {
+		return fmt.Errorf("renew: %w: %w", ErrUnavailable, err)
+	}
+	path := fmt.Sprintf("/holds/%d/touch", tenure)
+	status, raw, err := c.call(ctx, tuning.LeaseRenew, http.MethodPost, path, nil, nil)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNoLease
+	}
+	return unexpected(http.MethodPost, path, status, raw)
+}
+
+// Release ends a lease at once, as on an orderly shutdown.
+func (c *Client) Release(ctx context.Context, tenure uint64) error {
+	path := fmt.Sprintf("/holds/%d", tenure)
+	_, _, err := c.call(ctx, tuning.StateTimeout, http.MethodDelete, path, nil, nil)
+	return err
+}
+
+// Follow waits until a key below prefix has changed after revision from, or
+// until block has passed.
+func (c *Client) Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (epoch uint64, log []Change, err error) {
+	if err := c.Budget.Take(ctx, Lease, 0); err != nil {
+		return 0, nil, fmt.Errorf("follow: %w: %w", ErrUnavailable, err)
+	}
+	q := url.Values{
+		"prefix":  {prefix},
+		"from":    {strconv.FormatUint(from, 10)},
+		"blockMs": {strconv.FormatInt(block.Milliseconds(), 10)},
+	}
+	path := "/follow?" + q.Encode()
+	var out struct {
+		Epoch uint64   `json:"epoch"`
+		Log   []Change `json:"log"`
+	}
+	// An open watch stays open through an outage, so a watch that is late is
+	// given up and asked again.
+	status, raw, err := c.call(ctx, block+2*tuning.StateTimeout, http.MethodGet, path, nil, &out)
+	switch {
+	case err != nil:
+		return 0, nil, err
+	case status == http.StatusOK:
+		return max(out.Epoch, from), out.Log, nil
+	case status == http.StatusGone:
+		return 0, nil, ErrCompacted
+	}
+	return 0, nil, unexpected(http.MethodGet, path, status, raw)
+}
--- /dev/null
+++ b/internal/market/cloud.go
@@ -0,0 +1,232 @@
+// Package market deals with the cloud: the catalog, renting and returning
+// machines, and the list of what is rented.
+package market
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"golang.org/x/time/rate"
+
+	"thornnotch/internal/intake"
+	"thornnotch/internal/tuning"
+)
+
+// RigType is one kind of machine in the catalog.
+type RigType struct {
+	SKU          string   `json:"sku"`
+	VCPUs        float64  `json:"vcpus"`
+	Accelerators float64  `json:"accelerators"`
+	RAMGB        float64  `json:"ramGb"`
+	CacheGB      float64  `json:"cacheGb"`
+	PullGBPerS   float64  `json:"pullGbPerS"`
+	Rate         float64  `json:"rate"`
+	MarketPrice  float64  `json:"marketPrice"`
+	ReadyS       float64  `json:"readyS"`
+	Halls        []string `json:"halls"`
+}
+
+// Catalog lists what can be rented.
+type Catalog struct {
+	RigTypes []RigType `json:"rigTypes"`
+}
+
+// Type finds a type by name.
+func (c *Catalog) Type(sku string) (RigType, bool) {
+	if c != nil {
+		for _, t := range c.RigTypes {
+			if t.SKU == sku {
+				return t, true
+			}
+		}
+	}
+	return RigType{}, false
+}
+
+// Shapes is the catalog as intake needs it.
+func (c *Catalog) Shapes() []intake.MachineType {
+	if c == nil {
+		return nil
+	}
+	out := make([]intake.MachineType, 0, len(c.RigTypes))
+	for _, t := range c.RigTypes {
+		out = append(out, intake.MachineType{SKU: t.SKU, VCPUs: t.VCPUs, Accelerators: t.Accelerators, RAMGB: t.RAMGB, Halls: t.Halls})
+	}
+	return out
+}
+
+// Check reports what is impossible in a catalog.
+func (c *Catalog) Check() error {
+	if len(c.RigTypes) == 0 {
+		return errors.New("catalog: names no machine type")
+	}
+	for _, t := range c.RigTypes {
+		if t.SKU == "" || !(t.VCPUs > 0) || t.Accelerators < 0 || !(t.RAMGB > 0) || len(t.Halls) == 0 {
+			return fmt.Errorf("catalog: impossible machine type %q", t.SKU)
+		}
+	}
+	return nil
+}
+
+// Host is a rented machine as the cloud lists it.
+type Host struct {
+	NameID   string  `json:"nameId"`
+	Endpoint string  `json:"endpoint"`
+	RigType  string  `json:"rigType"`
+	Hall     string  `json:"hall"`
+	Loaners  bool    `json:"loaners"`
+	Status   string  `json:"status"`
+	HeldS    float64 `json:"heldS"`
+}
+
+// Errors that callers tell apart.
+var (
+	// ErrNoCapacity: nothing of this type, zone and kind can be had now.
+	ErrNoCapacity = errors.New("no capacity")
+	// ErrRefused: the call was not carried out; try later.
+	ErrRefused = errors.New("cloud refused")
+	// ErrUnknown: no usable answer; the call may take effect, even late.
+	ErrUnknown = errors.New("cloud gave no answer")
+)
+
+// Cloud calls the cloud's interface within its rate.
+type Cloud struct {
+	base   string
+	http   *http.Client
+	tokens *rate.Limiter
+}
+
+// NewCloud makes a client of the cloud at addr, for rps calls a second.
+func NewCloud(addr string, rps float64) *Cloud {
+	dialer := &net.Dialer{Timeout: tuning.CloudTimeout}
+	return &Cloud{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2, DisableCompression: true,
+		}},
+		tokens: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+	}
+}
+
+// Tokens tells how many calls may be made at once now.
+func (c *Cloud) Tokens() float64 { return c.tokens.Tokens() }
+
+// SetRate changes the allowed rate, as when the lead is taken or lost.
+func (c *Cloud) SetRate(rps float64) { c.tokens.SetLimit(rate.Limit(rps)) }
+
+func (c *Cloud) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, tuning.CloudTimeout)
+	defer cancel()
+	if err := c.tokens.Wait(ctx); err != nil {
+		return fmt.Errorf("%s %s: %w: no token: %w", method, path, ErrRefused, err)
+	}
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode %s: %w", path, err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnknown, err)
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		if out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(raw, out); err != nil {
+			return fmt.Errorf("%s %s: %w: bad answer: %w", method, path, ErrUnknown, err)
+		}
+		return nil
+	case resp.StatusCode == http.StatusServiceUnavailable && bytes.Contains(raw, []byte("no capacity")):
+		return ErrNoCapacity
+	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
+		return fmt.Errorf("%s %s: %w (%d)", method, path, ErrRefused, resp.StatusCode)
+	}
+	return fmt.Errorf("%s %s: %w: status %d: %.120s", method, path, ErrUnknown, resp.StatusCode, raw)
+}
+
+// Catalog reads the machine types and the current prices.
+func (c *Cloud) Catalog(ctx context.Context) (*Catalog, error) {
+	var cat Catalog
+	if err := c.call(ctx, http.MethodGet, "/catalog", nil, &cat); err != nil {
+		return nil, err
+	}
+	if err := cat.Check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	return &cat, nil
+}
+
+// Request asks for machines. Hire must never have been used for another one.
+type Request struct {
+	Hire    string `json:"hire"`
+	RigType string `json:"rigType"`
+	Hall    string `json:"hall"`
+	Loaners bool   `json:"loaners"`
+	Count   int    `json:"count"`
+}
+
+// Rent asks for machines and returns the names of those rented.
+func (c *Cloud) Rent(ctx context.Context, r Request) ([]string, error) {
+	var out struct {
+		Rigs []string `json:"rigs"`
+	}
+	if err := c.call(ctx, http.MethodPost, "/hosts", r, &out); err != nil {
+		return nil, err
+	}
+	return out.Rigs, nil
+}
+
+// Return gives machines back. Once it succeeds, they and all that was on
+// them are gone.
+func (c *Cloud) Return(ctx context.Context, names []string) error {
+	in := struct {
+		Rigs []string `json:"rigs"`
+	}{names}
+	return c.call(ctx, http.MethodPost, "/hosts/return", in, nil)
+}
+
+// List reads all rented machines. It lags, and may be older than the last.
+func (c *Cloud) List(ctx context.Context) ([]Host, error) {
+	var all []Host
+	from := ""
+	for {
+		q := url.Values{"limit": {strconv.Itoa(500)}}
+		if from != "" {
+			q.Set("from", from)
+		}
+		var page struct {
+			Rigs    []Host `json:"rigs"`
+			HasNext bool   `json:"hasNext"`
+		}
+		if err := c.call(ctx, http.MethodGet, "/hosts?"+q.Encode(), nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Rigs...)
+		if !page.HasNext || len(page.Rigs) == 0 {
+			return all, nil
+		}
+		from = page.Rigs[len(page.Rigs)-1].NameID
+	}
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,164 @@
+// Package mesh is what the nodes tell one another, over net/rpc. Nothing on
+// it is needed for safety: a node that can't be reached proves nothing.
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"thornnotch/internal/tuning"
+)
+
+// ProgressArgs asks how far a job is.
+type ProgressArgs struct{ Job string }
+
+// ProgressReply is the answer; Known is false if this node does not lead or
+// does not know the job.
+type ProgressReply struct {
+	Done, Running int
+	Known         bool
+}
+
+// Source answers for the local node.
+type Source interface {
+	Progress(ctx context.Context, job string) (done, running int, ok bool)
+}
+
+// service is what net/rpc exports.
+type service struct{ src Source }
+
+// Progress answers another node.
+func (s *service) Progress(args ProgressArgs, reply *ProgressReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), tuning.MeshTimeout)
+	defer cancel()
+	reply.Done, reply.Running, reply.Known = s.src.Progress(ctx, args.Job)
+	return nil
+}
+
+// Serve answers other nodes on l until ctx ends.
+func Serve(ctx context.Context, l net.Listener, src Source) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Mesh", &service{src}); err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	conns := make(map[net.Conn]bool)
+	stop := context.AfterFunc(ctx, func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for c := range conns {
+			c.Close()
+		}
+	})
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			time.Sleep(tuning.BackoffMin)
+			continue
+		}
+		mu.Lock()
+		conns[c] = true
+		mu.Unlock()
+		wg.Go(func() {
+			srv.ServeConn(c)
+			mu.Lock()
+			delete(conns, c)
+			mu.Unlock()
+		})
+	}
+}
+
+// Peers calls other nodes.
+type Peers struct {
+	addrs map[string]string
+	mu    sync.Mutex
+	open  map[string]*rpc.Client
+}
+
+// NewPeers makes a caller of the nodes at these addresses, by label.
+func NewPeers(addrs map[string]string) *Peers {
+	return &Peers{addrs: addrs, open: make(map[string]*rpc.Client)}
+}
+
+var errNoPeer = errors.New("mesh: no such node")
+
+func (p *Peers) client(ctx context.Context, label string) (*rpc.Client, error) {
+	p.mu.Lock()
+	c := p.open[label]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	addr, ok := p.addrs[label]
+	if !ok {
+		return nil, errNoPeer
+	}
+	d := net.Dialer{Timeout: tuning.MeshTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c = rpc.NewClient(conn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.open[label]; old != nil {
+		c.Close()
+		return old, nil
+	}
+	p.open[label] = c
+	return c, nil
+}
+
+func (p *Peers) drop(label string, c *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[label] == c {
+		delete(p.open, label)
+	}
+	c.Close()
+}
+
+// call runs one call with a bound on its time. A connection that fails or is
+// late is dropped.
+func (p *Peers) call(ctx context.Context, label, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, tuning.MeshTimeout)
+	defer cancel()
+	c, err := p.client(ctx, label)
+	if err != nil {
+		return err
+	}
+	select {
+	case done := <-c.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
+		var remote rpc.ServerError
+		if done.Error != nil && !errors.As(done.Error, &remote) {
+			p.drop(label, c)
+		}
+		return done.Error
+	case <-ctx.Done():
+		p.drop(label, c)
+		return ctx.Err()
+	}
+}
+
+// Progress asks a node how far a job is.
+func (p *Peers) Progress(ctx context.Context, label, job string) (ProgressReply, error) {
+	reply := new(ProgressReply)
+	if err := p.call(ctx, label, "Mesh.Progress", ProgressArgs{job}, reply); err != nil {
+		return ProgressReply{}, err
+	}
+	return *reply, nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,264 @@
+// Package node puts the slices of one controller process together.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/leader"
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/market"
+	"thornnotch/internal/mesh"
+	"thornnotch/internal/term"
+	"thornnotch/internal/tuning"
+)
+
+// catalogKey keeps the last catalog, so that a node that starts while the
+// cloud is down can still tell what can run.
+const catalogKey = "site/catalog"
+
+// Node is one controller process.
+type Node struct {
+	set     *config.Settings
+	op      config.Operator
+	log     *slog.Logger
+	store   *ledger.Client
+	cloud   *market.Cloud
+	elector *term.Elector
+	peers   *mesh.Peers
+	catalog atomic.Pointer[market.Catalog]
+	leading atomic.Pointer[leader.Leader]
+}
+
+// New makes a node from its settings.
+func New(set *config.Settings, op config.Operator, log *slog.Logger) *Node {
+	n := &Node{set: set, op: op, log: log}
+	n.store = ledger.New(set.Services.State, ledger.NewBudget(n.share(false)))
+	n.cloud = market.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use)
+	n.elector = term.New(set.Label, n.store, log)
+	addrs := make(map[string]string)
+	for _, k := range set.Known {
+		addrs[k.Label] = k.Addr
+	}
+	n.peers = mesh.NewPeers(addrs)
+	return n
+}
+
+// share is this node's part of the calls to the state service.
+func (n *Node) share(leads bool) (rps, writeRPS float64) {
+	part := 1.0
+	if others := n.set.Params.Count - 1; others > 0 {
+		part = (1 - n.op.Budgets.LeaderShare) / float64(others)
+		if leads {
+			part = n.op.Budgets.LeaderShare
+		}
+	}
+	part *= n.op.Budgets.Use
+	return n.set.Params.State.RPS * part, n.set.Params.State.WriteRPS * part
+}
+
+// fitMachine keeps the Go runtime within the machine's limits.
+func (n *Node) fitMachine() {
+	lim := n.set.Params.Limits
+	if lim.MemMB > 0 {
+		debug.SetMemoryLimit(int64(lim.MemMB * tuning.MemoryShare * (1 << 20)))
+		// Collect seldom: the memory limit above keeps the heap in bounds.
+		debug.SetGCPercent(tuning.GCPercent)
+	}
+	if lim.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(lim.Cores)))
+	}
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	n.fitMachine()
+	users, err := intake.NewServer(n.store, n.set.Params.Teams, func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	users.Register(mux)
+	mux.HandleFunc("POST /hello", n.hello)
+
+	listen, err := net.Listen("tcp", n.set.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if lim := n.set.Params.Limits.Sockets; lim > 0 {
+		listen = netutil.LimitListener(listen, max(16, int(float64(lim)*tuning.SocketShare)))
+	}
+	meshListen, err := net.Listen("tcp", n.set.MeshAddr)
+	if err != nil {
+		return fmt.Errorf("mesh: %w", err)
+	}
+	srv := &http.Server{
+		Handler: mux, ReadHeaderTimeout: tuning.HeaderTimeout, ReadTimeout: tuning.BodyTimeout,
+		IdleTimeout: tuning.IdleTimeout, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	n.log.Info("serving", "label", n.set.Label, "site", n.set.Site, "listen", n.set.Listen)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := srv.Serve(listen); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve: %w", err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), tuning.ShutdownGrace)
+		defer cancel()
+		return srv.Shutdown(stop)
+	})
+	group.Go(func() error { return mesh.Serve(ctx, meshListen, n) })
+	group.Go(func() error { return n.keepCatalog(ctx) })
+	group.Go(func() error { return n.elector.Run(ctx, n.lead) })
+	err = group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// lead runs one term.
+func (n *Node) lead(ctx context.Context, g term.Grant) error {
+	l := leader.New(leader.Deps{
+		Settings: n.set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(),
+		Catalog: n.catalog.Load, Log: n.log,
+	}, g)
+	n.store.Budget.SetShare(n.share(true))
+	n.leading.Store(l)
+	defer func() {
+		n.leading.Store(nil)
+		n.store.Budget.SetShare(n.share(false))
+	}()
+	return l.Run(ctx)
+}
+
+// ready tells whether users may be sent here. It does not follow the state
+// service's outages: they hit all nodes alike, and a node that is taken out
+// is brought back only slowly.
+func (n *Node) ready() bool { return n.catalog.Load() != nil }
+
+// Progress tells how far a job is if this node leads.
+func (n *Node) Progress(ctx context.Context, id string) (done, running int, ok bool) {
+	if l := n.leading.Load(); l != nil {
+		return l.Progress(ctx, id)
+	}
+	return 0, 0, false
+}
+
+// progress asks whoever leads.
+func (n *Node) progress(ctx context.Context, id string) (done, running int, ok bool) {
+	if n.leading.Load() != nil {
+		ctx, cancel := context.WithTimeout(ctx, tuning.MeshTimeout)
+		defer cancel()
+		return n.Progress(ctx, id)
+	}
+	label, _ := n.elector.Leader()
+	if label == "" || label == n.set.Label {
+		return 0, 0, false
+	}
+	r, err := n.peers.Progress(ctx, label, id)
+	if err != nil {
+		return 0, 0, false
+	}
+	return r.Done, r.Running, r.Known
+}
+
+// hello answers workers: the leader gives orders, the others name it.
+func (n *Node) hello(w http.ResponseWriter, r *http.Request) {
+	raw, ok := intake.ReadBody(w, r)
+	if !ok {
+		return
+	}
+	rep, err := fleet.DecodeReport(raw)
+	if err != nil {
+		intake.WriteJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		return
+	}
+	if l := n.leading.Load(); l != nil {
+		ctx, cancel := context.WithTimeout(r.Context(), tuning.HelloPatience)
+		defer cancel()
+		if a, ok := l.Hello(ctx, rep); ok && a.Status == http.StatusOK {
+			intake.WriteJSON(w, http.StatusOK, a.Answer)
+			return
+		}
+		intake.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "not able to act now"})
+		return
+	}
+	body := map[string]string{}
+	if label, _ := n.elector.Leader(); label != "" && label != n.set.Label {
+		body["foreman"] = label
+	}
+	intake.WriteJSON(w, http.StatusMisdirectedRequest, body)
+}
+
+// keepCatalog keeps the catalog at hand: from the cloud, or as another node
+// has recorded it.
+func (n *Node) keepCatalog(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if n.catalog.Load() == nil {
+			n.recallCatalog(ctx)
+		}
+		wait := tuning.CatalogEvery
+		if n.catalog.Load() == nil || n.leading.Load() != nil {
+			cat, err := n.cloud.Catalog(ctx)
+			if err != nil {
+				n.log.Debug("no catalog", "err", err)
+			} else {
+				n.catalog.Store(cat)
+				n.recordCatalog(ctx, cat)
+			}
+		}
+		if n.catalog.Load() == nil {
+			wait = tuning.CatalogRetry
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+		case <-t.C:
+		}
+	}
+	return ctx.Err()
+}
+
+func (n *Node) recallCatalog(ctx context.Context) {
+	row, found, err := n.store.Get(ctx, ledger.Poll, catalogKey)
+	if err != nil || !found {
+		return
+	}
+	var cat market.Catalog
+	if err := json.Unmarshal(row.V, &cat); err != nil || cat.Check() != nil {
+		n.log.Error("recorded catalog is unreadable", "err", err)
+		return
+	}
+	n.catalog.Store(&cat)
+}
+
+func (n *Node) recordCatalog(ctx context.Context, cat *market.Catalog) {
+	raw, err := json.Marshal(cat)
+	if err != nil {
+		return
+	}
+	if _, err := n.store.Multi(ctx, ledger.Hold, nil, []ledger.Write{{Set: catalogKey, V: raw}}); err != nil {
+		n.log.Debug("catalog not recorded", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/placement/world.go
@@ -0,0 +1,201 @@
+// Package placement decides which task starts where and what has to make
+// room for it. It is a plain function of the state that it is shown.
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"thornnotch/internal/intake"
+)
+
+// Room is an amount of a machine's resources.
+type Room struct{ VCPUs, GPUs, RAM float64 }
+
+// Need is what one task of a job takes.
+func Need(j *intake.Job) Room { return Room{j.VCPUs, j.Accelerators, j.RAMGB} }
+
+// Add returns the sum of both.
+func (r Room) Add(o Room) Room { return Room{r.VCPUs + o.VCPUs, r.GPUs + o.GPUs, r.RAM + o.RAM} }
+
+// Sub returns what is left of r without o.
+func (r Room) Sub(o Room) Room { return Room{r.VCPUs - o.VCPUs, r.GPUs - o.GPUs, r.RAM - o.RAM} }
+
+// Times returns n times r.
+func (r Room) Times(n int) Room {
+	f := float64(n)
+	return Room{r.VCPUs * f, r.GPUs * f, r.RAM * f}
+}
+
+// slack forgives rounding in sums of decimal amounts.
+const slack = 1e-6
+
+// Fits tells whether need fits into r.
+func (r Room) Fits(need Room) bool {
+	return need.VCPUs <= r.VCPUs+slack && need.GPUs <= r.GPUs+slack && need.RAM <= r.RAM+slack
+}
+
+// Count tells how many times need fits into r, at most limit.
+func (r Room) Count(need Room, limit int) int {
+	n := float64(limit)
+	for _, d := range [][2]float64{{r.VCPUs, need.VCPUs}, {r.GPUs, need.GPUs}, {r.RAM, need.RAM}} {
+		if d[1] > 0 {
+			n = min(n, math.Floor((d[0]+slack)/d[1]))
+		}
+	}
+	return max(0, int(n))
+}
+
+// Team is one team's levels and what it uses, held room included.
+type Team struct {
+	Name string
+	// Guarantee and Max are its levels; 0 means none. RAM is not limited.
+	Guarantee, Max Room
+	Used           Room
+}
+
+// Allows tells whether the team may use extra on top.
+func (t *Team) Allows(extra Room) bool {
+	u := t.Used.Add(extra)
+	return (t.Max.VCPUs <= 0 || u.VCPUs <= t.Max.VCPUs+slack) && (t.Max.GPUs <= 0 || u.GPUs <= t.Max.GPUs+slack)
+}
+
+// Guards tells whether use as large as this lies within the guarantee. Only
+// levels that are set count, and a team without any has no guarantee.
+func (t *Team) Guards(use Room) bool {
+	if t.Guarantee.VCPUs <= 0 && t.Guarantee.GPUs <= 0 {
+		return false
+	}
+	return (t.Guarantee.VCPUs <= 0 || use.VCPUs <= t.Guarantee.VCPUs+slack) &&
+		(t.Guarantee.GPUs <= 0 || use.GPUs <= t.Guarantee.GPUs+slack)
+}
+
+// Slot is a task that occupies a machine.
+type Slot struct {
+	Job    *Job
+	Index  int
+	Try    uint64
+	Room   Room
+	Ending bool // told to stop
+	// Left is how long it is expected to go on, Loss what stopping it would
+	// throw away.
+	Left, Loss time.Duration
+}
+
+// Held is room on a machine that is kept for a pipeline.
+type Held struct {
+	Pipeline Pipeline
+	Priority int
+	Room     Room
+}
+
+// Pipeline is one owner's jobs of one workload, in submission order.
+type Pipeline struct{ Owner, Workload string }
+
+// Rig is a machine as placement sees it.
+type Rig struct {
+	Name, Type, Zone string
+	Spot             bool
+	// Open tells whether new tasks may be put here.
+	Open  bool
+	Total Room
+	Slots []Slot
+	Held  []Held
+	// Cached tells for how long an image has still to be fetched; an image
+	// not named is not there.
+	Cached map[string]time.Duration
+	// Pull is the image fetch rate in GB a second, Fetching the number of
+	// fetches under way.
+	Pull     float64
+	Fetching int
+	// Speed is the measured speed against the others; 1 is usual.
+	Speed float64
+
+	used    Room
+	claimed string // waiting job that this machine is kept for, in this pass
+	rank    int
+}
+
+// Job is a job with tasks to start.
+type Job struct {
+	Spec       *intake.Job
+	Priority   int
+	Order      uint64 // revision of its submission
+	Submitted  time.Time
+	Guaranteed bool // fits the guarantee with its team's earlier jobs
+	Waiting    []int
+	Zones      map[string]int // tasks that may be on machines, by zone
+	Avoid      map[string]bool
+	Blocked    bool // may not start now: backing off, or an old attempt stands
+}
+
+// Pipeline tells which pipeline the job belongs to.
+func (j *Job) Pipeline() Pipeline { return Pipeline{j.Spec.Owner, j.Spec.Workload} }
+
+// ZoneCap is the most tasks that the job may have in one zone.
+func ZoneCap(s *intake.Job) int {
+	if s.Apart {
+		return (s.Pieces + 1) / 2
+	}
+	return s.Pieces
+}
+
+// World is all that one pass looks at; the pass works on it.
+type World struct {
+	Now   time.Time
+	Rigs  []*Rig
+	Jobs  []*Job
+	Teams map[string]*Team
+}
+
+// Start puts one task on a machine.
+type Start struct {
+	Job   *Job
+	Index int
+	Rig   *Rig
+}
+
+// Evict stops a task to make room.
+type Evict struct {
+	Rig  *Rig
+	Slot Slot
+	For  *Job
+}
+
+// Plan is what a pass decided. The starts of a gang are all there or none.
+type Plan struct {
+	Starts []Start
+	Evicts []Evict
+	// Unmet are the jobs, in order, that could not start all their tasks.
+	Unmet []*Job
+}
+
+// Before orders jobs: priority, then guarantee, then age.
+func Before(a, b *Job) bool {
+	switch {
+	case a.Priority != b.Priority:
+		return a.Priority > b.Priority
+	case a.Guaranteed != b.Guaranteed:
+		return a.Guaranteed
+	case a.Order != b.Order:
+		return a.Order < b.Order
+	}
+	return a.Spec.NameID < b.Spec.NameID
+}
+
+// MarkGuaranteed sets Guaranteed on all unfinished jobs: a job lies within
+// its team's guarantee when it fits there with the team's earlier ones.
+func MarkGuaranteed(unfinished []*Job, teams map[string]*Team) {
+	sort.Slice(unfinished, func(i, j int) bool { return unfinished[i].Order < unfinished[j].Order })
+	sum := make(map[string]Room)
+	for _, j := range unfinished {
+		t := teams[j.Spec.Owner]
+		if t == nil {
+			continue
+		}
+		total := sum[j.Spec.Owner].Add(Need(j.Spec).Times(j.Spec.Pieces))
+		sum[j.Spec.Owner] = total
+		j.Guaranteed = t.Guards(total)
+	}
+}
--- /dev/null
+++ b/internal/reserve/book.go
@@ -0,0 +1,254 @@
+// Package reserve is speculative slot reservation: it keeps the room of a
+// pipeline's finished tasks for the pipeline's next job.
+package reserve
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"thornnotch/internal/placement"
+)
+
+// Options are the operators' settings of the holds.
+type Options struct {
+	Enabled             bool
+	Alpha, P, Threshold float64
+}
+
+// Hold is room on one machine kept for a pipeline.
+type Hold struct {
+	Rig        string
+	Pipeline   placement.Pipeline
+	Upstream   string
+	Downstream string
+	Priority   int
+	Room       placement.Room
+	Expires    time.Time
+}
+
+// Downstream is the job that a hold is for.
+type Downstream struct {
+	Job      string
+	Pieces   int // 0: not known
+	Priority int
+	Need     placement.Room
+}
+
+// Finish is the end of one upstream task.
+type Finish struct {
+	Pipeline placement.Pipeline
+	Job      string
+	Pieces   int       // m
+	Started  time.Time // when the upstream's first task started
+	Ran      time.Duration
+	Rig      string
+	// Fits tells whether the freed room can and may take a task of Next.
+	Fits bool
+	// Next is the earliest job of the pipeline still waiting to start, or nil.
+	Next *Downstream
+	Now  time.Time
+}
+
+// stage follows one upstream job.
+type stage struct {
+	finished int
+	released int
+	first    time.Duration // t_m: the first finisher's run time
+	expires  time.Time
+	// extra is the room still to be held from elsewhere, for m < n.
+	extra    int
+	asked    bool
+	pipeline placement.Pipeline
+	next     Downstream
+}
+
+// Book keeps the holds in memory.
+type Book struct {
+	opt    Options
+	holds  map[string][]Hold // by machine
+	stages map[string]*stage // by upstream job
+}
+
+// New makes an empty book.
+func New(opt Options) *Book {
+	return &Book{opt: opt, holds: make(map[string][]Hold), stages: make(map[string]*stage)}
+}
+
+// Lapse is D of the paper's section IV: how long after the upstream's start
+// its holds last, for a first finisher after tm and n tasks.
+func (o Options) Lapse(tm time.Duration, n int) time.Duration {
+	if n < 1 {
+		n = 1
+	}
+	d := float64(tm) * math.Pow(1-math.Pow(o.P, 1/float64(n)), -1/o.Alpha)
+	if d > float64(24*time.Hour) {
+		return 24 * time.Hour
+	}
+	return time.Duration(d)
+}
+
+// Finished takes in the end of an upstream task and reports whether its room
+// is now held.
+func (b *Book) Finished(f Finish) bool {
+	if !b.opt.Enabled {
+		return false
+	}
+	s := b.stages[f.Job]
+	if s == nil {
+		s = &stage{first: f.Ran}
+		b.stages[f.Job] = s
+	}
+	s.finished++
+	s.expires = f.Started.Add(b.opt.Lapse(s.first, f.Pieces))
+	held := false
+	if f.Next != nil {
+		m, n := f.Pieces, f.Next.Pieces
+		if n == 0 {
+			n = m
+		}
+		s.pipeline, s.next = f.Pipeline, *f.Next
+		switch {
+		case m > n && s.released < m-n:
+			s.released++
+		case f.Fits && s.expires.After(f.Now):
+			b.add(Hold{f.Rig, f.Pipeline, f.Job, f.Next.Job, f.Next.Priority, f.Next.Need, s.expires})
+			held = true
+		}
+		if m < n && !s.asked && float64(s.finished) > b.opt.Threshold*float64(m) {
+			s.asked, s.extra = true, n-m
+		}
+	}
+	if s.finished >= f.Pieces && s.extra == 0 {
+		delete(b.stages, f.Job)
+	}
+	return held
+}
+
+// Freed offers room that came free elsewhere to the stages that hold more
+// than their own; fits tells whether a task of the named job can use it. The
+// highest priority goes first.
+func (b *Book) Freed(rig string, fits func(job string, need placement.Room) bool, now time.Time) bool {
+	var names []string
+	for name, s := range b.stages {
+		if s.extra > 0 {
+			if !s.expires.After(now) {
+				s.extra = 0
+				continue
+			}
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, c := b.stages[names[i]], b.stages[names[j]]
+		if a.next.Priority != c.next.Priority {
+			return a.next.Priority > c.next.Priority
+		}
+		return names[i] < names[j]
+	})
+	for _, name := range names {
+		s := b.stages[name]
+		if fits(s.next.Job, s.next.Need) {
+			s.extra--
+			b.add(Hold{rig, s.pipeline, name, s.next.Job, s.next.Priority, s.next.Need, s.expires})
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Book) add(h Hold) { b.holds[h.Rig] = append(b.holds[h.Rig], h) }
+
+// Restore puts back a hold read from a machine's record.
+func (b *Book) Restore(h Hold) {
+	if b.opt.Enabled {
+		b.add(h)
+	}
+}
+
+// On lists the holds on a machine.
+func (b *Book) On(rig string) []Hold { return b.holds[rig] }
+
+// All lists every hold, by machine.
+func (b *Book) All() []Hold {
+	var out []Hold
+	for _, hs := range b.holds {
+		out = append(out, hs...)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Rig < out[j].Rig })
+	return out
+}
+
+// Use takes up one hold on the machine for a task of the pipeline.
+func (b *Book) Use(rig string, p placement.Pipeline) bool {
+	for i, h := range b.holds[rig] {
+		if h.Pipeline == p {
+			b.remove(rig, i)
+			return true
+		}
+	}
+	return false
+}
+
+// Override removes holds on a machine, lowest priority first, until the room
+// kept there is no more than fits.
+func (b *Book) Override(rig string, fits placement.Room) (changed bool) {
+	for len(b.holds[rig]) > 0 {
+		var sum placement.Room
+		low := 0
+		for i, h := range b.holds[rig] {
+			sum = sum.Add(h.Room)
+			if h.Priority <= b.holds[rig][low].Priority {
+				low = i
+			}
+		}
+		if fits.Fits(sum) {
+			break
+		}
+		b.remove(rig, low)
+		changed = true
+	}
+	return changed
+}
+
+func (b *Book) remove(rig string, i int) {
+	hs := b.holds[rig]
+	hs = append(append([]Hold(nil), hs[:i]...), hs[i+1:]...)
+	if len(hs) == 0 {
+		delete(b.holds, rig)
+		return
+	}
+	b.holds[rig] = hs
+}
+
+// Lapse removes what has expired or whose downstream job no longer waits, and
+// names the machines that changed.
+func (b *Book) Lapse(now time.Time, waits func(job string) bool) (changed []string) {
+	for rig, hs := range b.holds {
+		kept := hs[:0:0]
+		for _, h := range hs {
+			if h.Expires.After(now) && waits(h.Downstream) {
+				kept = append(kept, h)
+			}
+		}
+		if len(kept) == len(hs) {
+			continue
+		}
+		changed = append(changed, rig)
+		if len(kept) == 0 {
+			delete(b.holds, rig)
+		} else {
+			b.holds[rig] = kept
+		}
+	}
+	for name, s := range b.stages {
+		if s.expires.Before(now.Add(-time.Hour)) || s.extra > 0 && !waits(s.next.Job) {
+			delete(b.stages, name)
+		}
+	}
+	sort.Strings(changed)
+	return changed
+}
+
+// Drop forgets the holds of a machine that is leaving.
+func (b *Book) Drop(rig string) { delete(b.holds, rig) }
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,187 @@
+// Package tuning holds every constant of thornnotch in one place, each with
+// its unit and the reason for its value. What differs between deployments is
+// not here: it comes from the settings file, the catalog or measurement.
+package tuning
+
+import "time"
+
+// Leadership.
+const (
+	// LeaseTTL is the life of the leader's lease in the state service. It
+	// bounds how long a dead leader is missed, and must stay far below the
+	// workers' lease so that they are answered again before it ends.
+	LeaseTTL = 2500 * time.Millisecond
+	// LeaseRenew is the time between renewals: three tries fit in one TTL.
+	LeaseRenew = 700 * time.Millisecond
+	// CampaignRetry is the least pause between two tries at an election.
+	CampaignRetry = 150 * time.Millisecond
+	// WatchBlock is how long one watch request waits. Every answer, empty or
+	// not, renews the leader's certainty of knowing all cancellations, so it
+	// must be short against cancel_s; one request a second is cheap.
+	WatchBlock = 1000 * time.Millisecond
+	// CertaintyMargin is kept back from cancel_s − lease_s before a leader
+	// that can't see cancellations stops answering workers. It covers the
+	// stop order's way to the worker and the clocks' drift.
+	CertaintyMargin = 4 * time.Second
+	// ClockDrift is the largest relative difference between two steady
+	// clocks: the protocol's 0.05 % on each side, doubled for safety.
+	ClockDrift = 0.002
+	// LeaseProofMargin is added to lease_s before silence proves that a
+	// worker has killed its tasks; it covers timers that fire late.
+	LeaseProofMargin = 700 * time.Millisecond
+	// TryBits is the width of the attempt counter below the term in an
+	// attempt number: a million starts a term.
+	TryBits = 20
+)
+
+// State service.
+const (
+	// StateTimeout bounds one ordinary request; answers take a few hundred
+	// milliseconds at worst, and users wait 2 s for a poll.
+	StateTimeout = 1500 * time.Millisecond
+	// StateConns is the number of connections a node keeps to the service.
+	StateConns = 24
+	// LeaderShare is the leader's part of the request and write budgets: it
+	// writes every start and finish. The other nodes share the rest.
+	LeaderShare = 0.6
+	// BudgetUse is the part of the allowed rate that is planned for; the
+	// rest absorbs clocks that disagree about a second.
+	BudgetUse = 0.94
+	// BudgetPoll is the pause before looking again for tokens held back for
+	// more important calls.
+	BudgetPoll = 15 * time.Millisecond
+	// ListPage is the number of rows asked for at once: well under 512 KiB.
+	ListPage = 400
+	// BackoffMin and BackoffMax bound the jittered pause after a failed call.
+	BackoffMin = 100 * time.Millisecond
+	BackoffMax = 1500 * time.Millisecond
+)
+
+// Reserves of tokens, as parts of one second's worth, that a call of each
+// importance must leave untouched.
+const (
+	ReserveLease  = 0.0
+	ReserveCancel = 0.05
+	ReserveSubmit = 0.10
+	ReserveRecord = 0.15
+	ReservePoll   = 0.20
+	ReserveHold   = 0.40
+)
+
+// Scheduling.
+const (
+	// PassEvery is the least time between two placement passes: short
+	// against a report interval, long enough to batch a burst of reports.
+	PassEvery = 60 * time.Millisecond
+	// TickEvery drives time-outs, lapses and renting.
+	TickEvery = 250 * time.Millisecond
+	// AnswerHold is how long a worker's report is kept unanswered so that
+	// orders can go with the answer. Workers report changes at most every
+	// half second, so nothing is delayed by it.
+	AnswerHold = 400 * time.Millisecond
+	// IdleHold is the same for a machine with nothing running, which has
+	// nothing to report. Workers give an answer up after 4 s.
+	IdleHold = 1200 * time.Millisecond
+	// RecordQuiet is how long a machine's record may still list attempts
+	// that are proven gone before it is rewritten for that alone.
+	RecordQuiet = 1500 * time.Millisecond
+	// MaxAttempts bounds the attempts on one machine so that its record
+	// stays within the smallest value size.
+	MaxAttempts = 96
+	// DoneChunk is the number of tasks whose completion one record holds:
+	// 2 KiB of bits, 2.7 KiB in JSON.
+	DoneChunk = 16384
+	// RetryBase and RetryMax bound the pause before a failed task is tried
+	// again; it doubles with each failure in a row.
+	RetryBase = 1 * time.Second
+	RetryMax  = 60 * time.Second
+	// BadMachineErrors is the number of failures of different jobs after
+	// which a machine is taken for faulty.
+	BadMachineErrors = 2
+	// AvoidFor is how long a machine is avoided after a failure on it.
+	AvoidFor = 60 * time.Second
+	// StopGrace is added to stashS when a task is told to stop with saving.
+	StopGrace = 2 * time.Second
+	// StopResend is the pause before a stop order is sent directly again.
+	StopResend = 2 * time.Second
+	// NoticeGrace is the remaining notice below which a machine that is
+	// being taken back gets no new tasks saved: they are stopped at once.
+	NoticeGrace = 1 * time.Second
+)
+
+// Holds.
+const (
+	// HoldAlpha, HoldP and HoldThreshold are the defaults of the operator
+	// settings alpha, p and threshold (paper, section IV).
+	HoldAlpha     = 1.6
+	HoldP         = 0.4
+	HoldThreshold = 0.8
+)
+
+// Cloud.
+const (
+	// CloudTimeout bounds one request to the cloud.
+	CloudTimeout = 4 * time.Second
+	// CatalogEvery refreshes prices.
+	CatalogEvery = 60 * time.Second
+	// RentBatch is the largest number of machines in one request.
+	RentBatch = 50
+	// RefusedPause is the pause before asking again for a type, zone and
+	// kind that was refused.
+	RefusedPause = 10 * time.Second
+	// SilentReturn is how long past its lease a machine may stay silent
+	// before it is returned: long enough for a short cut to heal.
+	SilentReturn = 25 * time.Second
+	// BootPatience times the catalog's boot time is how long a machine may
+	// take to report before it is returned.
+	BootPatience = 3.0
+	// ReturnBatch is the largest number of names in one return.
+	ReturnBatch = 100
+	// IdleReturn is how long an unneeded machine is kept where price counts.
+	IdleReturn = 25 * time.Second
+)
+
+// Serving.
+const (
+	// BodyMax is the largest request body, in bytes (protocol: 64 KiB).
+	BodyMax = 64 << 10
+	// HeaderTimeout and IdleTimeout bound slow and idle connections.
+	HeaderTimeout = 10 * time.Second
+	IdleTimeout   = 120 * time.Second
+	// BodyTimeout bounds reading a whole request.
+	BodyTimeout = 15 * time.Second
+	// RetryAfter is what a user is told to wait, in seconds, when the state
+	// service can't be asked.
+	RetryAfter = 2
+	// UserPatience bounds the work for one submission or cancellation; users
+	// give up after 5 s.
+	UserPatience = 3500 * time.Millisecond
+	// PollPatience is the same for a poll; users give up after 2 s.
+	PollPatience = 1700 * time.Millisecond
+	// HelloPatience bounds a worker's wait for a leader that is still reading
+	// its records; workers give up after 4 s.
+	HelloPatience = 3 * time.Second
+	// CommandTimeout bounds a direct order to a worker.
+	CommandTimeout = 2 * time.Second
+	// CatalogRetry is the pause before asking again while no catalog is known.
+	CatalogRetry = 1 * time.Second
+	// SocketShare is the part of the machine's sockets open to users and
+	// workers; the rest is for our own calls.
+	SocketShare = 0.75
+	// MemoryShare is the part of the machine's memory that the Go runtime is
+	// told to stay within; threads and the binary need the rest.
+	MemoryShare = 0.7
+	// GCPercent lets the heap grow before it is collected, as processor time
+	// is scarcer than memory; the memory limit takes over where it is not.
+	GCPercent = 400
+	// FinalCache is the number of final job states kept in memory.
+	FinalCache = 20000
+	// MaxPieces is the largest job (protocol).
+	MaxPieces = 100000
+	// AmountMax is the largest believable amount or duration.
+	AmountMax = 1e9
+	// ShutdownGrace is how long open requests may take on an orderly end.
+	ShutdownGrace = 3 * time.Second
+	// MeshTimeout bounds a call between nodes.
+	MeshTimeout = 400 * time.Millisecond
+)
