--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,359 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/market"
+	"thornnotch/internal/standin"
+)
+
+// judge watches what really happens on the machines.
+type judge struct {
+	mu     sync.Mutex
+	on     map[fleet.TaskID]string
+	gpus   map[string]float64
+	zones  map[string]map[string]int
+	limits map[string]float64
+	broken []string
+	done   map[fleet.TaskID]int
+	owner  map[string]*intake.Job
+}
+
+func (j *judge) fail(format string, args ...any) {
+	j.broken = append(j.broken, fmt.Sprintf(format, args...))
+}
+
+func (j *judge) Began(rig, zone string, spot bool, t fleet.TaskID, try uint64, job *intake.Job) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if other, ok := j.on[t]; ok {
+		j.fail("ran_twice: %v on %s and %s", t, other, rig)
+	}
+	j.on[t] = rig
+	j.owner[t.Job] = job
+	if j.gpus[job.Owner] += job.Accelerators; j.gpus[job.Owner] > j.limits[job.Owner] {
+		j.fail("quota: %s has %v", job.Owner, j.gpus[job.Owner])
+	}
+	if j.zones[t.Job] == nil {
+		j.zones[t.Job] = make(map[string]int)
+	}
+	j.zones[t.Job][zone]++
+	if spot && !job.Loaners {
+		j.fail("wrong_place: %v on spot", t)
+	}
+	if n := 0; job.SamePlace {
+		for _, c := range j.zones[t.Job] {
+			if c > 0 {
+				n++
+			}
+		}
+		if n > 1 {
+			j.fail("wrong_place: %s in %d zones", t.Job, n)
+		}
+	}
+}
+
+func (j *judge) Ended(rig string, t fleet.TaskID, _ uint64, done bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.on, t)
+	j.gpus[j.owner[t.Job].Owner] -= j.owner[t.Job].Accelerators
+	for z, n := range j.zones[t.Job] {
+		if n > 0 && rig != "" {
+			j.zones[t.Job][z]--
+			break
+		}
+	}
+	if done {
+		j.done[t]++
+	}
+}
+
+// site is a whole deployment of stand-ins and three nodes, in fake time.
+type site struct {
+	t     *testing.T
+	net   *standin.Network
+	state *standin.State
+	cloud *standin.Cloud
+	judge *judge
+	jobs  sync.Map
+	user  *http.Client
+	nodes map[string]*process
+	ctx   context.Context
+	wait  sync.WaitGroup
+}
+
+type process struct {
+	host *standin.Host
+	stop context.CancelFunc
+	node *Node
+}
+
+func (s *site) Job(id string) (*intake.Job, bool) {
+	j, ok := s.jobs.Load(id)
+	if !ok {
+		return nil, false
+	}
+	return j.(*intake.Job), true
+}
+
+var zones = []string{"east", "west", "north"}
+
+func newSite(t *testing.T, ctx context.Context) *site {
+	s := &site{t: t, net: standin.NewNetwork(), state: standin.NewState(), nodes: make(map[string]*process), ctx: ctx,
+		judge: &judge{on: map[fleet.TaskID]string{}, gpus: map[string]float64{}, zones: map[string]map[string]int{},
+			limits: map[string]float64{"a": 12, "b": 8}, done: map[fleet.TaskID]int{}, owner: map[string]*intake.Job{}}}
+	meet := standin.NewMeeting()
+	cat := market.Catalog{RigTypes: []market.RigType{{SKU: "g4", VCPUs: 32, Accelerators: 4, RAMGB: 256, CacheGB: 80, PullGBPerS: 1,
+		Rate: 10, MarketPrice: 5, ReadyS: 5, Halls: zones}}}
+	var addrs []string
+	labels := map[string]string{}
+	for i := range 3 {
+		addrs = append(addrs, fmt.Sprintf("node-%d:80", i))
+		labels[fmt.Sprintf("rig-%d", i)] = addrs[i]
+	}
+	s.cloud = standin.NewCloud(ctx, cat, 10, func(ctx context.Context, h market.Host) {
+		host := s.net.Host()
+		defer host.Kill()
+		w := standin.NewWorker(standin.WorkerOptions{Name: h.NameID, Addr: h.Endpoint, Type: h.RigType, Zone: h.Hall, Spot: h.Loaners,
+			Nodes: addrs, Labels: labels, Report: 2 * time.Second, Lease: 12 * time.Second, Fetch: 3 * time.Second, GangWait: 30 * time.Second},
+			host, s, s.judge, meet)
+		_ = w.Run(ctx)
+	})
+	s.serve("state:1", s.state)
+	s.serve("cloud:1", s.cloud)
+	user := s.net.Host()
+	s.user = &http.Client{Transport: &http.Transport{DialContext: user.DialContext, DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	return s
+}
+
+func (s *site) serve(addr string, h http.Handler) {
+	host := s.net.Host()
+	l, err := host.Listen("tcp", addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h}
+	s.wait.Go(func() { _ = srv.Serve(l) })
+	context.AfterFunc(s.ctx, func() {
+		srv.Close()
+		host.Kill()
+	})
+}
+
+func (s *site) start(i int) {
+	label := fmt.Sprintf("rig-%d", i)
+	set := &config.Settings{Label: label, Site: zones[i], Listen: fmt.Sprintf("node-%d:80", i), MeshAddr: fmt.Sprintf("node-%d:81", i),
+		Services: config.Services{Cloud: "cloud:1", State: "state:1"},
+		Params: config.Params{Count: 3, Zones: zones, Teams: []config.Team{{Name: "a", GPUs: 8, GPUsMax: 12}, {Name: "b", GPUs: 4, GPUsMax: 8}},
+			Workers: config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 8, CancelS: 37},
+			State:   config.State{RPS: 150, WriteRPS: 50, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 2, ListLagS: 5}}}
+	for k := range 3 {
+		if k != i {
+			set.Known = append(set.Known, config.Peer{Label: fmt.Sprintf("rig-%d", k), Addr: fmt.Sprintf("node-%d:81", k)})
+		}
+	}
+	var out io.Writer = io.Discard
+	if testing.Verbose() {
+		out = os.Stderr
+	}
+	host := s.net.Host()
+	ctx, stop := context.WithCancel(s.ctx)
+	p := &process{host: host, stop: stop, node: New(set, config.DefaultOperator(), host, slog.New(slog.NewTextHandler(out, nil)).With("node", label))}
+	s.nodes[label] = p
+	s.wait.Go(func() {
+		_ = p.node.Run(ctx)
+		host.Kill()
+	})
+	context.AfterFunc(s.ctx, host.Kill)
+}
+
+// kill ends a node's process with no warning.
+func (s *site) kill(label string) {
+	p := s.nodes[label]
+	p.host.Kill()
+	p.stop()
+	delete(s.nodes, label)
+}
+
+func (s *site) leader() string {
+	for label, p := range s.nodes {
+		if p.node.leading.Load() != nil {
+			return label
+		}
+	}
+	return ""
+}
+
+func (s *site) call(node int, method, path string, body any) (int, intake.State) {
+	raw, _ := json.Marshal(body)
+	req, err := http.NewRequest(method, fmt.Sprintf("http://node-%d:80%s", node, path), bytes.NewReader(raw))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := s.user.Do(req)
+	if err != nil {
+		return 0, intake.State{}
+	}
+	defer resp.Body.Close()
+	var st intake.State
+	_ = json.NewDecoder(resp.Body).Decode(&st)
+	return resp.StatusCode, st
+}
+
+func (s *site) submit(node int, j *intake.Job) int {
+	s.jobs.Store(j.NameID, j)
+	body := map[string]any{"nameId": j.NameID, "workload": j.Workload, "owner": j.Owner, "shape": j.Shape, "urgency": j.Urgency,
+		"pieces": j.Pieces, "vcpus": j.VCPUs, "accelerators": j.Accelerators, "ramGb": j.RAMGB, "bundle": j.Bundle, "imageGb": 3.0,
+		"samePlace": j.SamePlace, "apart": false, "loaners": j.Loaners, "expectS": j.ExpectS, "snapshotS": j.SnapshotS, "stashS": j.StashS}
+	status, _ := s.call(node, "POST", "/work", body)
+	return status
+}
+
+func testJob(n int, owner, shape string, pieces int) *intake.Job {
+	return &intake.Job{NameID: fmt.Sprintf("j-%06d", n), Workload: shape, Owner: owner, Shape: shape, Urgency: "standard", Pieces: pieces,
+		VCPUs: 6, Accelerators: 1, RAMGB: 10, Bundle: "img", SamePlace: shape == intake.Gang, Loaners: shape == intake.Sweep,
+		ExpectS: 20, SnapshotS: 5, StashS: 1}
+}
+
+func (s *site) until(limit time.Duration, what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Fatalf("not in time: %s", what)
+}
+
+func (s *site) status(node int, id string) string {
+	code, st := s.call(node, "GET", "/work/"+id, nil)
+	if code != http.StatusOK {
+		return fmt.Sprint(code)
+	}
+	return st.Status
+}
+
+// TestSiteThroughFailures runs a whole site in fake time: jobs of both shapes,
+// a cancellation, the leader killed, the state service down, every node killed
+// at once. All accepted jobs end, and no rule of the protocol is broken.
+func TestSiteThroughFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSite(t, ctx)
+		defer s.wait.Wait()
+		defer cancel()
+		defer s.state.Close()
+		for i := range 3 {
+			s.start(i)
+		}
+		s.until(10*time.Second, "a leader", func() bool { return s.leader() != "" })
+		s.until(10*time.Second, "readiness", func() bool { c, _ := s.call(0, "GET", "/ready", nil); return c == http.StatusOK })
+
+		var ids []string
+		add := func(j *intake.Job) {
+			t.Helper()
+			s.until(30*time.Second, "acceptance of "+j.NameID, func() bool {
+				for n := range 3 {
+					if c := s.submit(n, j); c == http.StatusCreated || c == http.StatusOK {
+						return true
+					}
+				}
+				return false
+			})
+			ids = append(ids, j.NameID)
+		}
+		for n := range 6 {
+			owner := []string{"a", "b"}[n%2]
+			if n%3 == 2 {
+				add(testJob(n, owner, intake.Gang, 3))
+			} else {
+				add(testJob(n, owner, intake.Sweep, 5))
+			}
+		}
+		if c := s.submit(1, testJob(0, "a", intake.Sweep, 5)); c != http.StatusOK {
+			t.Errorf("a repeated submission got %d", c)
+		}
+		if c := s.submit(1, testJob(99, "nobody", intake.Sweep, 5)); c != http.StatusUnprocessableEntity {
+			t.Errorf("an unknown team got %d", c)
+		}
+		if got := s.status(2, "j-777777"); got != "404" {
+			t.Errorf("an unknown job got %s", got)
+		}
+		time.Sleep(25 * time.Second)
+
+		lead := s.leader()
+		s.kill(lead)
+		s.until(10*time.Second, "a new leader", func() bool { l := s.leader(); return l != "" && l != lead })
+		add(testJob(10, "a", intake.Gang, 2))
+		s.start(int(lead[4] - '0'))
+
+		victim := testJob(11, "b", intake.Sweep, 8)
+		victim.ExpectS = 500
+		s.jobs.Store(victim.NameID, victim)
+		add(victim)
+		ids = ids[:len(ids)-1]
+		time.Sleep(20 * time.Second)
+		s.until(10*time.Second, "the cancellation", func() bool {
+			c, st := s.call(1, "POST", "/work/"+victim.NameID+"/cancel", nil)
+			return c == http.StatusOK && st.Status == intake.Aborted
+		})
+		cancelled := time.Now()
+
+		s.state.SetDown(true)
+		if c := s.submit(1, testJob(12, "a", intake.Sweep, 2)); c != http.StatusServiceUnavailable {
+			t.Errorf("a submission during the outage got %d", c)
+		}
+		time.Sleep(15 * time.Second)
+		for label := range s.nodes {
+			s.kill(label)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			s.start(i)
+		}
+		s.state.SetDown(false)
+		time.Sleep(max(0, 37*time.Second-time.Since(cancelled)))
+		s.judge.mu.Lock()
+		for task := range s.judge.on {
+			if task.Job == victim.NameID {
+				t.Errorf("ran_cancelled: %v", task)
+			}
+		}
+		s.judge.mu.Unlock()
+
+		for _, id := range ids {
+			s.until(5*time.Minute, id+" done", func() bool { return s.status(0, id) == intake.Done })
+			j, _ := s.Job(id)
+			s.judge.mu.Lock()
+			for i := range j.Pieces {
+				if s.judge.done[fleet.TaskID{Job: id, Index: i}] == 0 {
+					t.Errorf("not_done: %s is called done before its task %d is", id, i)
+				}
+			}
+			s.judge.mu.Unlock()
+		}
+		if got := s.status(0, victim.NameID); got != intake.Aborted {
+			t.Errorf("went_back: the cancelled job is %s", got)
+		}
+		for _, b := range s.judge.broken {
+			t.Errorf("rule broken: %s", b)
+		}
+		// With nothing left to do, the machines are given back but a few.
+		s.until(5*time.Minute, "idle machines returned", func() bool { return s.cloud.Hosts() <= 2 })
+	})
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"thornnotch/internal/market"
+)
+
+// Boot starts a machine's worker once it is up; the worker ends with ctx.
+type Boot func(ctx context.Context, h market.Host)
+
+// Cloud is a cloud that boots machines after their catalog time.
+type Cloud struct {
+	ctx     context.Context
+	catalog market.Catalog
+	boot    Boot
+	mu      sync.Mutex
+	next    int
+	hosts   map[string]*host
+	hires   map[string][]string
+	room    int
+	down    bool
+}
+
+type host struct {
+	market.Host
+	since time.Time
+	stop  context.CancelFunc
+	end   chan struct{} // closed once nothing of it runs
+}
+
+// NewCloud makes a cloud with room for so many machines.
+func NewCloud(ctx context.Context, catalog market.Catalog, room int, boot Boot) *Cloud {
+	return &Cloud{ctx: ctx, catalog: catalog, boot: boot, room: room, hosts: make(map[string]*host), hires: make(map[string][]string)}
+}
+
+// SetDown begins or ends an outage.
+func (c *Cloud) SetDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+// Hosts counts the machines rented now.
+func (c *Cloud) Hosts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.hosts)
+}
+
+// ServeHTTP answers the cloud's interface.
+func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		reply(w, http.StatusServiceUnavailable, fields{"error": "trouble"})
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /catalog":
+		reply(w, http.StatusOK, c.catalog)
+	case "POST /hosts":
+		c.rent(w, r)
+	case "POST /hosts/return":
+		var in struct {
+			Rigs []string `json:"rigs"`
+		}
+		if json.NewDecoder(r.Body).Decode(&in) != nil {
+			reply(w, http.StatusBadRequest, fields{"error": "malformed"})
+			return
+		}
+		var ends []chan struct{}
+		for _, n := range in.Rigs {
+			if h := c.hosts[n]; h != nil {
+				h.stop()
+				ends = append(ends, h.end)
+				delete(c.hosts, n)
+			}
+		}
+		// The answer means that they and all on them are gone.
+		c.mu.Unlock()
+		for _, end := range ends {
+			<-end
+		}
+		c.mu.Lock()
+		reply(w, http.StatusOK, fields{})
+	case "GET /hosts":
+		rigs := []market.Host{}
+		for _, h := range c.hosts {
+			h.HeldS = time.Since(h.since).Seconds()
+			rigs = append(rigs, h.Host)
+		}
+		sort.Slice(rigs, func(i, j int) bool { return rigs[i].NameID < rigs[j].NameID })
+		reply(w, http.StatusOK, fields{"rigs": rigs, "hasNext": false})
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (c *Cloud) rent(w http.ResponseWriter, r *http.Request) {
+	var in market.Request
+	if json.NewDecoder(r.Body).Decode(&in) != nil || in.Hire == "" || in.Count < 1 || in.Count > 50 {
+		reply(w, http.StatusBadRequest, fields{"error": "malformed"})
+		return
+	}
+	typ, ok := c.catalog.Type(in.RigType)
+	if !ok {
+		reply(w, http.StatusBadRequest, fields{"error": "rigType"})
+		return
+	}
+	if names, ok := c.hires[in.Hire]; ok {
+		reply(w, http.StatusOK, fields{"rigs": names})
+		return
+	}
+	n := min(in.Count, c.room-len(c.hosts))
+	if n <= 0 {
+		reply(w, http.StatusServiceUnavailable, fields{"error": "no capacity"})
+		return
+	}
+	var names []string
+	for range n {
+		name := fmt.Sprintf("m-%06d", c.next)
+		ctx, stop := context.WithCancel(c.ctx)
+		h := &host{Host: market.Host{NameID: name, Endpoint: fmt.Sprintf("127.0.0.1:%d", 21000+c.next), RigType: in.RigType,
+			Hall: in.Hall, Loaners: in.Loaners, Status: "starting"}, since: time.Now(), stop: stop, end: make(chan struct{})}
+		c.next++
+		c.hosts[name] = h
+		names = append(names, name)
+		go func() {
+			defer close(h.end)
+			t := time.NewTimer(time.Duration(typ.ReadyS * float64(time.Second)))
+			defer t.Stop()
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			c.mu.Lock()
+			h.Status = "running"
+			info := h.Host
+			c.mu.Unlock()
+			c.boot(ctx, info)
+		}()
+	}
+	c.hires[in.Hire] = names
+	reply(w, http.StatusOK, fields{"rigs": names})
+}
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+// Network connects hosts within one process over pipes, so that a test's fake
+// time governs everything. Hosts are named by the address they listen on.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+// NewNetwork makes an empty network.
+func NewNetwork() *Network { return &Network{listeners: make(map[string]*listener)} }
+
+// Host is one host's end of the network. Closing it ends everything it has
+// open, as when a process is killed.
+type Host struct {
+	net   *Network
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	lists []*listener
+	dead  bool
+}
+
+// Host adds a host.
+func (n *Network) Host() *Host { return &Host{net: n, conns: make(map[net.Conn]bool)} }
+
+var errRefused = errors.New("connection refused")
+
+type listener struct {
+	host  *Host
+	addr  string
+	queue chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+type address string
+
+func (address) Network() string  { return "tcp" }
+func (a address) String() string { return string(a) }
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.host.net.mu.Lock()
+		defer l.host.net.mu.Unlock()
+		if l.host.net.listeners[l.addr] == l {
+			delete(l.host.net.listeners, l.addr)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return address(l.addr) }
+
+// Listen opens a listener.
+func (h *Host) Listen(_, addr string) (net.Listener, error) {
+	l := &listener{host: h, addr: addr, queue: make(chan net.Conn), done: make(chan struct{})}
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if h.net.listeners[addr] != nil {
+		return nil, errors.New("address in use")
+	}
+	h.net.listeners[addr] = l
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lists = append(h.lists, l)
+	return l, nil
+}
+
+// DialContext connects to a listener.
+func (h *Host) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
+	h.net.mu.Lock()
+	l := h.net.listeners[addr]
+	h.net.mu.Unlock()
+	if l == nil {
+		return nil, errRefused
+	}
+	a, b := net.Pipe()
+	if !h.keep(a) || !l.host.keep(b) {
+		a.Close()
+		b.Close()
+		return nil, errRefused
+	}
+	select {
+	case l.queue <- b:
+		return a, nil
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	a.Close()
+	b.Close()
+	return nil, errRefused
+}
+
+func (h *Host) keep(c net.Conn) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.dead {
+		return false
+	}
+	h.conns[c] = true
+	return true
+}
+
+// Kill ends all that the host has open.
+func (h *Host) Kill() {
+	h.mu.Lock()
+	h.dead = true
+	lists := h.lists
+	for c := range h.conns {
+		c.Close()
+	}
+	h.mu.Unlock()
+	for _, l := range lists {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,302 @@
+// Package standin holds test doubles of the outside systems, written from
+// their protocol: the state service, the cloud, workers, and a network between
+// them. Tests use them, and so does a first run on a laptop. They are simple
+// and honest about it: no disk, no limits on rates, one process.
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type item struct {
+	V      json.RawMessage
+	Stamp  uint64
+	Tenure uint64
+}
+
+type change struct {
+	Set    string          `json:"set,omitempty"`
+	V      json.RawMessage `json:"v,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+// State is a state service.
+type State struct {
+	mu      sync.Mutex
+	epoch   uint64
+	items   map[string]item
+	log     []change
+	tenures map[uint64]*tenure
+	next    uint64
+	down    bool
+	changed chan struct{} // closed and renewed with every change
+}
+
+type tenure struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewState makes an empty state service.
+func NewState() *State {
+	return &State{items: make(map[string]item), tenures: make(map[uint64]*tenure), changed: make(chan struct{})}
+}
+
+// SetDown begins or ends an outage. Afterwards every lease has its full time.
+func (s *State) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for _, t := range s.tenures {
+		if down {
+			t.timer.Stop()
+		} else {
+			t.timer.Reset(t.ttl)
+		}
+	}
+	s.wake()
+}
+
+// Keys lists all keys below a prefix.
+func (s *State) Keys(prefix string) (out []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Close stops all leases' timers.
+func (s *State) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tenures {
+		t.timer.Stop()
+	}
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *State) apply(c change) {
+	c.Stamp = s.epoch
+	s.log = append(s.log, c)
+	s.wake()
+}
+
+func (s *State) end(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.tenures[id]; !ok || s.down {
+		return
+	}
+	s.endLocked(id)
+}
+
+func (s *State) endLocked(id uint64) {
+	s.tenures[id].timer.Stop()
+	delete(s.tenures, id)
+	var gone []string
+	for k, it := range s.items {
+		if it.Tenure == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	if len(gone) > 0 {
+		s.epoch++
+	}
+	for _, k := range gone {
+		delete(s.items, k)
+		s.apply(change{Remove: k})
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+type fields map[string]any
+
+// ServeHTTP answers the state service's interface.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/follow" {
+		s.follow(w, r)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		reply(w, http.StatusServiceUnavailable, fields{"error": "trouble"})
+		return
+	}
+	switch {
+	case r.URL.Path == "/store":
+		s.list(w, r)
+	case strings.HasPrefix(r.URL.Path, "/store/"):
+		key := strings.TrimPrefix(r.URL.Path, "/store/")
+		it, ok := s.items[key]
+		if !ok {
+			reply(w, http.StatusNotFound, fields{"epoch": s.epoch})
+			return
+		}
+		reply(w, http.StatusOK, fields{"k": key, "v": it.V, "stamp": it.Stamp})
+	case r.URL.Path == "/multi":
+		s.multi(w, r)
+	case r.URL.Path == "/holds":
+		var in struct {
+			TTL int64 `json:"ttlMs"`
+		}
+		if json.NewDecoder(r.Body).Decode(&in) != nil || in.TTL < 100 || in.TTL > 600000 {
+			reply(w, http.StatusBadRequest, fields{"error": "ttlMs"})
+			return
+		}
+		s.next++
+		id, ttl := s.next, time.Duration(in.TTL)*time.Millisecond
+		s.tenures[id] = &tenure{ttl, time.AfterFunc(ttl, func() { s.end(id) })}
+		reply(w, http.StatusOK, fields{"tenure": id})
+	case strings.HasPrefix(r.URL.Path, "/holds/"):
+		name, touch := strings.CutSuffix(strings.TrimPrefix(r.URL.Path, "/holds/"), "/touch")
+		id, _ := strconv.ParseUint(name, 10, 64)
+		t, ok := s.tenures[id]
+		switch {
+		case !ok:
+			reply(w, http.StatusNotFound, fields{"error": "no such lease"})
+		case touch:
+			t.timer.Reset(t.ttl)
+			reply(w, http.StatusOK, fields{"tenure": id})
+		default:
+			s.endLocked(id)
+			reply(w, http.StatusOK, fields{})
+		}
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 || limit > 1000 {
+		limit = 1000
+	}
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("from") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > limit
+	rows := []fields{}
+	for _, k := range keys[:min(limit, len(keys))] {
+		rows = append(rows, fields{"k": k, "v": s.items[k].V, "stamp": s.items[k].Stamp})
+	}
+	reply(w, http.StatusOK, fields{"rows": rows, "hasNext": more, "epoch": s.epoch})
+}
+
+func (s *State) multi(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		When []struct {
+			K     string `json:"k"`
+			Stamp uint64 `json:"stamp"`
+		} `json:"when"`
+		Writes []struct {
+			Set    string          `json:"set"`
+			V      json.RawMessage `json:"v"`
+			Tenure uint64          `json:"tenure"`
+			Remove string          `json:"remove"`
+		} `json:"writes"`
+	}
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		reply(w, http.StatusBadRequest, fields{"error": "malformed"})
+		return
+	}
+	failed := []string{}
+	for _, c := range in.When {
+		if s.items[c.K].Stamp != c.Stamp {
+			failed = append(failed, c.K)
+		}
+	}
+	if len(failed) > 0 {
+		reply(w, http.StatusConflict, fields{"failed": failed, "epoch": s.epoch})
+		return
+	}
+	for _, p := range in.Writes {
+		if _, ok := s.tenures[p.Tenure]; p.Tenure != 0 && !ok {
+			reply(w, http.StatusBadRequest, fields{"error": "no such lease"})
+			return
+		}
+	}
+	if len(in.Writes) > 0 {
+		s.epoch++
+	}
+	for _, p := range in.Writes {
+		if p.Remove != "" {
+			if _, ok := s.items[p.Remove]; ok {
+				delete(s.items, p.Remove)
+				s.apply(change{Remove: p.Remove})
+			}
+			continue
+		}
+		s.items[p.Set] = item{p.V, s.epoch, p.Tenure}
+		s.apply(change{Set: p.Set, V: p.V})
+	}
+	reply(w, http.StatusOK, fields{"epoch": s.epoch})
+}
+
+func (s *State) follow(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+	block, _ := strconv.ParseInt(q.Get("blockMs"), 10, 64)
+	timer := time.NewTimer(time.Duration(block) * time.Millisecond)
+	defer timer.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		reply(w, http.StatusServiceUnavailable, fields{"error": "trouble"})
+		return
+	}
+	for over := false; ; {
+		log := []change{}
+		for _, c := range s.log {
+			if c.Stamp > from && (strings.HasPrefix(c.Set, q.Get("prefix")) && c.Set != "" || strings.HasPrefix(c.Remove, q.Get("prefix")) && c.Remove != "") {
+				log = append(log, c)
+			}
+		}
+		if !s.down && (len(log) > 0 || over) {
+			reply(w, http.StatusOK, fields{"epoch": s.epoch, "log": log})
+			return
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			s.mu.Lock()
+			return
+		}
+		s.mu.Lock()
+		if over && s.down {
+			reply(w, http.StatusServiceUnavailable, fields{"error": "trouble"})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,404 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+)
+
+// Endpoint is how a stand-in reaches others and is reached.
+type Endpoint interface {
+	Listen(network, addr string) (net.Listener, error)
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Jobs is what users have uploaded: workers get the descriptions from here.
+type Jobs interface {
+	Job(id string) (*intake.Job, bool)
+}
+
+// Judge is told what really happens on machines.
+type Judge interface {
+	Began(rig, zone string, spot bool, t fleet.TaskID, try uint64, j *intake.Job)
+	Ended(rig string, t fleet.TaskID, try uint64, done bool)
+}
+
+// WorkerOptions describe one machine.
+type WorkerOptions struct {
+	Name, Addr, Type, Zone string
+	Spot                   bool
+	Nodes                  []string          // the controllers' addresses
+	Labels                 map[string]string // address by label, for redirects
+	Report, Lease          time.Duration
+	Fetch                  time.Duration // time to fetch any image
+	GangWait               time.Duration
+}
+
+type task struct {
+	id      fleet.AttemptID
+	job     *intake.Job
+	status  string
+	cause   string
+	saved   bool
+	since   time.Time // of the present state
+	began   bool
+	stopped time.Time
+}
+
+// Worker is a machine that runs tasks for their expected time. It follows the
+// protocol for tokens, sessions and orders; gangs meet through a Meeting.
+type Worker struct {
+	opt   WorkerOptions
+	end   Endpoint
+	jobs  Jobs
+	judge Judge
+	meet  *Meeting
+	http  *http.Client
+
+	mu      sync.Mutex
+	shift   uint64
+	tick    uint64
+	warrant uint64
+	leased  time.Time
+	tasks   map[fleet.AttemptID]*task
+	images  map[string]bool
+	target  int
+	poke    chan struct{}
+}
+
+// Meeting lets the tasks of a gang find one another.
+type Meeting struct {
+	mu   sync.Mutex
+	here map[string]map[int]bool // by job and try
+	done map[string]bool
+}
+
+// NewMeeting makes an empty meeting.
+func NewMeeting() *Meeting {
+	return &Meeting{here: make(map[string]map[int]bool), done: make(map[string]bool)}
+}
+
+// NewWorker makes a machine; Run starts it.
+func NewWorker(opt WorkerOptions, end Endpoint, jobs Jobs, judge Judge, meet *Meeting) *Worker {
+	return &Worker{opt: opt, end: end, jobs: jobs, judge: judge, meet: meet, shift: 1,
+		tasks: make(map[fleet.AttemptID]*task), images: make(map[string]bool), poke: make(chan struct{}, 1),
+		http: &http.Client{Transport: &http.Transport{DialContext: end.DialContext}}}
+}
+
+// Run works until ctx ends; then all that is on the machine is gone.
+func (w *Worker) Run(ctx context.Context) error {
+	l, err := w.end.Listen("tcp", w.opt.Addr)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /commands", w.commands)
+	mux.HandleFunc("GET /status", func(rw http.ResponseWriter, _ *http.Request) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		reply(rw, http.StatusOK, w.report())
+	})
+	srv := &http.Server{Handler: mux}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	go func() { _ = srv.Serve(l) }()
+	w.mu.Lock()
+	w.leased = time.Now()
+	w.mu.Unlock()
+	defer w.http.CloseIdleConnections()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.clear()
+	}()
+	step := time.NewTicker(100 * time.Millisecond)
+	defer step.Stop()
+	next := time.Now()
+	answered := make(chan struct{}, 1)
+	busy := false
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-answered:
+			busy = false
+		case <-w.poke:
+			if soon := time.Now().Add(w.opt.Report / 4); soon.Before(next) {
+				next = soon
+			}
+		case <-step.C:
+			w.mu.Lock()
+			w.advance(time.Now())
+			w.mu.Unlock()
+		}
+		if now := time.Now(); !busy && !now.Before(next) {
+			busy, next = true, now.Add(w.opt.Report)
+			go func() {
+				w.hello(ctx)
+				answered <- struct{}{}
+			}()
+		}
+	}
+}
+
+func (w *Worker) clear() {
+	for id, t := range w.tasks {
+		w.leave(t, false)
+		delete(w.tasks, id)
+	}
+}
+
+func (w *Worker) leave(t *task, done bool) {
+	if t.began {
+		t.began = false
+		w.judge.Ended(w.opt.Name, t.id.Task, t.id.Try, done)
+	}
+	if t.job != nil && t.job.Shape == intake.Gang {
+		w.meet.leave(t, done)
+	}
+}
+
+func gangKey(t *task) string { return t.id.Task.Job + "#" + time.Duration(t.id.Try).String() }
+
+func (m *Meeting) join(t *task) (complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := gangKey(t)
+	if m.here[k] == nil {
+		m.here[k] = make(map[int]bool)
+	}
+	m.here[k][t.id.Task.Index] = true
+	return len(m.here[k]) == t.job.Pieces
+}
+
+func (m *Meeting) leave(t *task, done bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.here[gangKey(t)], t.id.Task.Index)
+	if done {
+		m.done[gangKey(t)] = true
+	}
+}
+
+func (m *Meeting) state(t *task) (complete, done bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.here[gangKey(t)]) == t.job.Pieces, m.done[gangKey(t)]
+}
+
+// advance moves the tasks on to the present.
+func (w *Worker) advance(now time.Time) {
+	if now.Sub(w.leased) > w.opt.Lease {
+		w.clear()
+		w.shift++
+		w.leased = now
+		w.changed()
+	}
+	for _, id := range w.order() {
+		t := w.tasks[id]
+		switch t.status {
+		case fleet.Fetching:
+			if !w.images[t.job.Bundle] && now.Sub(t.since) < w.opt.Fetch {
+				continue
+			}
+			w.images[t.job.Bundle] = true
+			t.began = true
+			w.judge.Began(w.opt.Name, w.opt.Zone, w.opt.Spot, t.id.Task, t.id.Try, t.job)
+			if t.job.Shape == intake.Gang {
+				w.meet.join(t)
+				w.set(t, fleet.Waiting, now)
+			} else {
+				w.set(t, fleet.Running, now)
+			}
+		case fleet.Waiting:
+			complete, _ := w.meet.state(t)
+			switch {
+			case complete:
+				w.set(t, fleet.Running, now)
+			case now.Sub(t.since) > w.opt.GangWait:
+				w.exit(t, "alone", false, now)
+			}
+		case fleet.Running:
+			if t.job.Shape == intake.Gang {
+				complete, done := w.meet.state(t)
+				if !complete && !done {
+					w.exit(t, "mates_gone", false, now)
+					continue
+				}
+			}
+			if now.Sub(t.since).Seconds() >= t.job.ExpectS {
+				w.exit(t, fleet.CauseDone, false, now)
+			}
+		case fleet.Saving:
+			if now.Sub(t.stopped).Seconds() >= t.job.StashS {
+				w.exit(t, "halted", true, now)
+			}
+		}
+	}
+}
+
+func (w *Worker) order() []fleet.AttemptID {
+	ids := make([]fleet.AttemptID, 0, len(w.tasks))
+	for id := range w.tasks {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool {
+		if ids[i].Task != ids[j].Task {
+			return ids[i].Task.String() < ids[j].Task.String()
+		}
+		return ids[i].Try < ids[j].Try
+	})
+	return ids
+}
+
+func (w *Worker) set(t *task, status string, now time.Time) {
+	t.status, t.since = status, now
+	w.changed()
+}
+
+func (w *Worker) exit(t *task, cause string, saved bool, now time.Time) {
+	w.leave(t, cause == fleet.CauseDone)
+	t.cause, t.saved = cause, saved
+	w.set(t, fleet.Exited, now)
+}
+
+func (w *Worker) changed() {
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Worker) report() fleet.Report {
+	w.tick++
+	r := fleet.Report{Rig: w.opt.Name, Endpoint: w.opt.Addr, RigType: w.opt.Type, Hall: w.opt.Zone, Loaners: w.opt.Spot,
+		Shift: w.shift, Tick: w.tick, Warrant: w.warrant}
+	for _, id := range w.order() {
+		t := w.tasks[id]
+		r.Pieces = append(r.Pieces, fleet.Piece{Piece: id.Task.String(), Try: id.Try, Status: t.status, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+func (w *Worker) hello(ctx context.Context) {
+	w.mu.Lock()
+	rep := w.report()
+	addr := w.opt.Nodes[w.target%len(w.opt.Nodes)]
+	w.mu.Unlock()
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	status, body := w.post(ctx, addr, rep)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch status {
+	case http.StatusOK:
+		var a fleet.Answer
+		if json.Unmarshal(body, &a) != nil || a.Warrant < w.warrant || rep.Shift != w.shift {
+			return
+		}
+		w.warrant, w.leased = a.Warrant, sent
+		w.execute(a.Orders, time.Now())
+	case http.StatusMisdirectedRequest:
+		var f struct {
+			Foreman string `json:"foreman"`
+		}
+		_ = json.Unmarshal(body, &f)
+		for i, n := range w.opt.Nodes {
+			if f.Foreman != "" && n == w.opt.Labels[f.Foreman] && n != addr {
+				w.target = i
+				w.changed()
+				return
+			}
+		}
+		w.target++
+	default:
+		w.target++
+	}
+}
+
+func (w *Worker) post(ctx context.Context, addr string, rep fleet.Report) (int, []byte) {
+	raw, err := json.Marshal(rep)
+	if err != nil {
+		return 0, nil
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/hello", bytes.NewReader(raw))
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := w.http.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, body
+}
+
+func (w *Worker) execute(orders []fleet.Order, now time.Time) {
+	for _, o := range orders {
+		id, err := fleet.ParseTaskID(o.Piece)
+		if err != nil {
+			continue
+		}
+		key := fleet.AttemptID{Task: id, Try: o.Try}
+		t := w.tasks[key]
+		switch o.Verb {
+		case fleet.Run:
+			if t != nil {
+				continue
+			}
+			t = &task{id: key, status: fleet.Fetching, since: now}
+			w.tasks[key] = t
+			j, ok := w.jobs.Job(id.Job)
+			if !ok {
+				t.status, t.cause = fleet.Exited, "unknown"
+			}
+			t.job = j
+			w.changed()
+		case fleet.Stop:
+			switch {
+			case t == nil || t.status == fleet.Exited:
+			case t.status == fleet.Running && t.job.SnapshotS > 0 && o.WindDownS != nil && *o.WindDownS >= t.job.StashS:
+				t.stopped = now
+				w.set(t, fleet.Saving, now)
+			case t.status == fleet.Saving && o.WindDownS != nil && *o.WindDownS > 0:
+			default:
+				w.exit(t, "halted", false, now)
+			}
+		case fleet.Forget:
+			if t != nil && t.status == fleet.Exited {
+				delete(w.tasks, key)
+			}
+		}
+	}
+}
+
+func (w *Worker) commands(rw http.ResponseWriter, r *http.Request) {
+	var a fleet.Answer
+	if json.NewDecoder(r.Body).Decode(&a) != nil || a.Warrant == 0 || a.Shift == 0 {
+		reply(rw, http.StatusBadRequest, fields{"error": "malformed"})
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	status := http.StatusConflict
+	if a.Warrant >= w.warrant && a.Shift == w.shift {
+		status = http.StatusOK
+		w.warrant = a.Warrant
+		w.execute(a.Orders, time.Now())
+	}
+	reply(rw, status, w.report())
+}
