--- /dev/null
+++ b/cmd/thornnotch/client.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"thornnotch/internal/intake"
+	"thornnotch/internal/node"
+	"thornnotch/internal/tuning"
+)
+
+// client is what the commands that talk to a running node share.
+type client struct {
+	Node string `default:"127.0.0.1:8080" env:"THORNNOTCH_NODE" placeholder:"HOST:PORT" help:"The users' address of any controller node (${default})."`
+	JSON bool   `name:"json" help:"Print JSON."`
+}
+
+// answer is what a node says to a request.
+type answer struct {
+	status int
+	retry  string
+	body   []byte
+}
+
+func (c client) call(method, path string, body []byte) (answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), tuning.ClientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Node+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, fmt.Errorf("--node %s: %w", c.Node, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, fmt.Errorf("node %s can't be reached: %w", c.Node, errors.Unwrap(err))
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 1<<22))
+	if err != nil {
+		return answer{}, fmt.Errorf("node %s: %w", c.Node, err)
+	}
+	return answer{resp.StatusCode, resp.Header.Get("Retry-After"), raw}, nil
+}
+
+// problem turns a refusal into one line.
+func (a answer) problem(what string) error {
+	var p struct {
+		Error string `json:"error"`
+		Field string `json:"field"`
+	}
+	_ = json.Unmarshal(a.body, &p)
+	if p.Field != "" {
+		p.Error = p.Field + ": " + p.Error
+	}
+	switch a.status {
+	case http.StatusNotFound:
+		return fmt.Errorf("%s: no such job", what)
+	case http.StatusBadRequest:
+		return fmt.Errorf("%s: malformed: %s", what, p.Error)
+	case http.StatusUnprocessableEntity:
+		return fmt.Errorf("%s: can never run: %s", what, p.Error)
+	case http.StatusServiceUnavailable:
+		return fmt.Errorf("%s: not now (%s), try again in %s s", what, p.Error, a.retry)
+	}
+	return fmt.Errorf("%s: the node answered %d", what, a.status)
+}
+
+func (c client) show(a answer) error {
+	if c.JSON {
+		_, err := os.Stdout.Write(a.body)
+		return err
+	}
+	var st intake.State
+	if err := json.Unmarshal(a.body, &st); err != nil {
+		return fmt.Errorf("unreadable answer: %w", err)
+	}
+	fmt.Print(st.NameID, "  ", st.Status)
+	if st.Done != nil && st.Running != nil {
+		fmt.Printf("  %d done, %d running", *st.Done, *st.Running)
+	}
+	fmt.Println()
+	return nil
+}
+
+type jobCmd struct {
+	Submit submitCmd `cmd:"" help:"Submit a job."`
+	Get    getCmd    `cmd:"" help:"Show how far a job is."`
+	Cancel cancelCmd `cmd:"" help:"Cancel a job."`
+}
+
+type submitCmd struct {
+	client
+	File string `arg:"" help:"The job as JSON; - for standard input."`
+}
+
+func (c *submitCmd) Run() error {
+	var raw []byte
+	var err error
+	if c.File == "-" {
+		raw, err = io.ReadAll(io.LimitReader(os.Stdin, tuning.BodyMax+1))
+	} else {
+		raw, err = os.ReadFile(c.File)
+	}
+	if err != nil {
+		return err
+	}
+	j, err := intake.DecodeJob(raw)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	a, err := c.call(http.MethodPost, "/work", raw)
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusCreated && a.status != http.StatusOK {
+		return a.problem(j.NameID)
+	}
+	return c.show(a)
+}
+
+type getCmd struct {
+	client
+	ID string `arg:"" help:"The job's name."`
+}
+
+func (c *getCmd) Run() error {
+	a, err := c.call(http.MethodGet, "/work/"+c.ID, nil)
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK {
+		return a.problem(c.ID)
+	}
+	return c.show(a)
+}
+
+type cancelCmd struct {
+	client
+	ID string `arg:"" help:"The job's name."`
+}
+
+func (c *cancelCmd) Run() error {
+	a, err := c.call(http.MethodPost, "/work/"+c.ID+"/cancel", nil)
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK {
+		return a.problem(c.ID)
+	}
+	return c.show(a)
+}
+
+type statusCmd struct {
+	client
+}
+
+func (c *statusCmd) Run() error {
+	a, err := c.call(http.MethodGet, "/cluster", nil)
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK {
+		return a.problem("status")
+	}
+	if c.JSON {
+		_, err := os.Stdout.Write(a.body)
+		return err
+	}
+	var o node.Overview
+	if err := json.Unmarshal(a.body, &o); err != nil {
+		return fmt.Errorf("unreadable answer: %w", err)
+	}
+	printOverview(os.Stdout, o)
+	return nil
+}
+
+func printOverview(out io.Writer, o node.Overview) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "NODE\tLEADS\tLEADER SEEN\tTERM\tSTATE REQUESTS LEFT\tSTATE CHANGES LEFT\tCLOUD CALLS LEFT")
+	for _, n := range o.Nodes {
+		if !n.Reachable {
+			fmt.Fprintf(w, "%s\tnot reachable\n", n.Label)
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%v\t%s\t%d\t%.0f\t%.0f\t%.0f\n", n.Label, n.Leads, n.Leader, n.Term, n.RequestTokens, n.WriteTokens, n.CloudTokens)
+	}
+	c := o.Cluster
+	if c == nil {
+		fmt.Fprintln(w, "\nno leader answers")
+		return
+	}
+	fmt.Fprintf(w, "\nterm %d, %d machines booting, %d leaving, records written: %v\n", c.Term, c.Booting, c.Leaving, c.State.Healthy)
+	fmt.Fprintln(w, "\nTYPE\tZONE\tKIND\tUP\tBUSY\tGPUS USED")
+	for _, m := range c.Machines {
+		kind := "ordinary"
+		if m.Spot {
+			kind = "spot"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.0f\n", m.Type, m.Zone, kind, m.Up, m.Busy, m.GPUs)
+	}
+	fmt.Fprintln(w, "\nCLASS\tTEAM\tJOBS\tWAITING\tRUNNING\tDONE")
+	for _, q := range c.Queue {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", q.Class, q.Team, q.Jobs, q.Waiting, q.Running, q.Done)
+	}
+	fmt.Fprintln(w, "\nTEAM\tCPUS\tGPUS\tHELD GPUS\tGUARANTEED GPUS\tLIMIT GPUS")
+	for _, t := range c.Teams {
+		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n", t.Team, t.CPUs, t.GPUs, t.HeldGPUs, t.GPUsOwn, t.GPUsLimit)
+	}
+	if len(c.Holds) > 0 {
+		fmt.Fprintln(w, "\nHELD ON\tTEAM\tCLASS\tFOR JOB\tGPUS\tLAPSES IN")
+		for _, h := range c.Holds {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f\t%v\n", h.Rig, h.Team, h.Class, h.Job, h.GPUs, time.Duration(h.LapsesIn*float64(time.Second)).Round(time.Second))
+		}
+	}
+}
--- a/cmd/thornnotch/main.go
+++ b/cmd/thornnotch/main.go
@@ -16,6 +16,7 @@
 
 	"thornnotch/internal/config"
 	"thornnotch/internal/node"
+	"thornnotch/internal/standin"
 	"thornnotch/internal/tuning"
 )
 
@@ -25,6 +26,9 @@
 type cli struct {
 	Serve   serveCmd         `cmd:"" default:"withargs" help:"Run a controller node."`
 	Check   checkCmd         `cmd:"" help:"Check the settings and report every problem."`
+	Job     jobCmd           `cmd:"" help:"Submit, show and cancel jobs."`
+	Status  statusCmd        `cmd:"" help:"Show nodes, machines, queue, teams and holds."`
+	Demo    demoCmd          `cmd:"" help:"Run stand-ins of the state service, the cloud and its machines on this computer."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
@@ -80,6 +84,26 @@
 	return nil
 }
 
+// demoCmd serves what a first run on one computer needs beside the nodes.
+type demoCmd struct {
+	Config string            `required:"" placeholder:"FILE" help:"The settings of one of the nodes (TOML)."`
+	Nodes  map[string]string `required:"" placeholder:"LABEL=HOST:PORT;..." help:"The nodes' users' addresses, by label."`
+}
+
+func (c *demoCmd) Run() error {
+	set, err := config.Load(c.Config)
+	if err != nil {
+		return settingsError{err}
+	}
+	log, err := newLogger(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return settingsError{err}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return standin.ServeSite(ctx, set, c.Nodes, log)
+}
+
 func newLogger(level string) (*slog.Logger, error) {
 	var l slog.Level
 	switch strings.ToLower(level) {
--- /dev/null
+++ b/internal/leader/status.go
@@ -0,0 +1,173 @@
+package leader
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/placement"
+)
+
+// Status is the state of a term as operators see it.
+type Status struct {
+	Term     uint64          `json:"term"`
+	Machines []MachineCount  `json:"machines"`
+	Queue    []QueueCount    `json:"queue"`
+	Teams    []TeamUse       `json:"teams"`
+	Holds    []HoldView      `json:"holds"`
+	Booting  int             `json:"booting"`
+	Leaving  int             `json:"leaving"`
+	State    RecordingStatus `json:"recording"`
+}
+
+// RecordingStatus tells whether records can be written.
+type RecordingStatus struct {
+	Healthy bool    `json:"healthy"`
+	SureS   float64 `json:"sureS"` // since all cancellations were certainly known
+}
+
+// MachineCount counts the machines of one pool.
+type MachineCount struct {
+	Type string  `json:"type"`
+	Zone string  `json:"zone"`
+	Spot bool    `json:"spot"`
+	Up   int     `json:"up"`
+	Busy int     `json:"busy"`
+	GPUs float64 `json:"gpusUsed"`
+}
+
+// QueueCount counts one team's jobs of one class.
+type QueueCount struct {
+	Class   string `json:"class"`
+	Team    string `json:"team"`
+	Jobs    int    `json:"jobs"`
+	Waiting int    `json:"tasksWaiting"`
+	Running int    `json:"tasksRunning"`
+	Done    int    `json:"tasksDone"`
+}
+
+// TeamUse is what a team uses of its levels, held room included.
+type TeamUse struct {
+	Team      string  `json:"team"`
+	CPUs      float64 `json:"cpus"`
+	GPUs      float64 `json:"gpus"`
+	HeldGPUs  float64 `json:"gpusHeld"`
+	CPUsOwn   float64 `json:"cpusGuaranteed"`
+	GPUsOwn   float64 `json:"gpusGuaranteed"`
+	CPUsLimit float64 `json:"cpusLimit"`
+	GPUsLimit float64 `json:"gpusLimit"`
+}
+
+// HoldView is one hold with the time until it lapses.
+type HoldView struct {
+	Rig      string  `json:"rig"`
+	Team     string  `json:"team"`
+	Class    string  `json:"class"`
+	Job      string  `json:"job"`
+	GPUs     float64 `json:"gpus"`
+	LapsesIn float64 `json:"lapsesInS"`
+}
+
+// Status takes a snapshot; ok is false once the term is over.
+func (l *Leader) Status(ctx context.Context) (st Status, ok bool) {
+	ch := make(chan Status, 1)
+	if !l.do(ctx, func() { ch <- l.snapshot(time.Now()) }) {
+		return Status{}, false
+	}
+	select {
+	case st := <-ch:
+		return st, true
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	return Status{}, false
+}
+
+func (l *Leader) snapshot(now time.Time) Status {
+	st := Status{Term: l.grant.Term, Booting: len(l.market.booting),
+		State: RecordingStatus{Healthy: l.committer.backoff == 0, SureS: now.Sub(l.sure).Seconds()}}
+	type pool struct {
+		t, z string
+		spot bool
+	}
+	pools := make(map[pool]*MachineCount)
+	use, held := make(map[string]placement.Room), make(map[string]placement.Room)
+	for _, r := range l.rigs {
+		k := pool{r.m.Type, r.m.Zone, r.m.Spot}
+		c := pools[k]
+		if c == nil {
+			c = &MachineCount{Type: k.t, Zone: k.z, Spot: k.spot}
+			pools[k] = c
+		}
+		if r.leaving {
+			st.Leaving++
+		} else if r.m.Known {
+			c.Up++
+		}
+		if l.busy(r) {
+			c.Busy++
+		}
+		for _, a := range r.m.Attempts {
+			if a.Live() {
+				need, owner := l.needOf(a), l.ownerOf(a)
+				c.GPUs += need.GPUs
+				use[owner] = use[owner].Add(need)
+			}
+		}
+	}
+	for _, c := range pools {
+		st.Machines = append(st.Machines, *c)
+	}
+	sort.Slice(st.Machines, func(i, j int) bool {
+		a, b := st.Machines[i], st.Machines[j]
+		if a.Type != b.Type {
+			return a.Type < b.Type
+		}
+		if a.Zone != b.Zone {
+			return a.Zone < b.Zone
+		}
+		return !a.Spot && b.Spot
+	})
+	for _, h := range l.book.All() {
+		held[h.Pipeline.Owner] = held[h.Pipeline.Owner].Add(h.Room)
+		st.Holds = append(st.Holds, HoldView{h.Rig, h.Pipeline.Owner, h.Pipeline.Workload, h.Downstream, h.Room.GPUs, h.Expires.Sub(now).Seconds()})
+	}
+	queue := make(map[placement.Pipeline]*QueueCount)
+	for _, j := range l.jobs {
+		k := j.view.Pipeline()
+		q := queue[k]
+		if q == nil {
+			q = &QueueCount{Class: k.Workload, Team: k.Owner}
+			queue[k] = q
+		}
+		run := 0
+		for _, seats := range j.seats {
+			for _, s := range seats {
+				if s.a.Status != "" && s.a.Status != fleet.Fetching {
+					run++
+				}
+			}
+		}
+		q.Jobs++
+		q.Done += j.doneN
+		q.Running += run
+		q.Waiting += max(0, j.spec.Pieces-j.doneN-run)
+	}
+	for _, q := range queue {
+		st.Queue = append(st.Queue, *q)
+	}
+	sort.Slice(st.Queue, func(i, j int) bool {
+		a, b := st.Queue[i], st.Queue[j]
+		if a.Class != b.Class {
+			return a.Class < b.Class
+		}
+		return a.Team < b.Team
+	})
+	for _, t := range l.teams {
+		u, h := use[t.Name], held[t.Name]
+		st.Teams = append(st.Teams, TeamUse{Team: t.Name, CPUs: u.VCPUs + h.VCPUs, GPUs: u.GPUs + h.GPUs, HeldGPUs: h.GPUs,
+			CPUsOwn: t.CPUs, GPUsOwn: t.GPUs, CPUsLimit: t.CPUsMax, GPUsLimit: t.GPUsMax})
+	}
+	return st
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -26,8 +26,16 @@
 // Source answers for the local node.
 type Source interface {
 	Progress(ctx context.Context, job string) (done, running int, ok bool)
+	// Status is the node's own state, as JSON.
+	Status(ctx context.Context) ([]byte, error)
 }
 
+// StatusArgs asks for a node's state.
+type StatusArgs struct{}
+
+// StatusReply is the answer.
+type StatusReply struct{ JSON []byte }
+
 // service is what net/rpc exports.
 type service struct{ src Source }
 
@@ -39,6 +47,14 @@
 	return nil
 }
 
+// Status answers another node.
+func (s *service) Status(_ StatusArgs, reply *StatusReply) (err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), tuning.MeshTimeout)
+	defer cancel()
+	reply.JSON, err = s.src.Status(ctx)
+	return err
+}
+
 // Serve answers other nodes on l until ctx ends.
 func Serve(ctx context.Context, l net.Listener, src Source) error {
 	srv := rpc.NewServer()
@@ -162,3 +178,12 @@
 	}
 	return *reply, nil
 }
+
+// Status asks a node for its state.
+func (p *Peers) Status(ctx context.Context, label string) ([]byte, error) {
+	reply := new(StatusReply)
+	if err := p.call(ctx, label, "Mesh.Status", StatusArgs{}, reply); err != nil {
+		return nil, err
+	}
+	return reply.JSON, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 	mux := http.NewServeMux()
 	users.Register(mux)
 	mux.HandleFunc("POST /hello", n.hello)
+	n.registerOperators(mux)
 
 	listen, err := n.net.Listen("tcp", n.set.Listen)
 	if err != nil {
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"thornnotch/internal/intake"
+	"thornnotch/internal/leader"
+	"thornnotch/internal/tuning"
+)
+
+// NodeStatus is what one node says of itself.
+type NodeStatus struct {
+	Label         string  `json:"label"`
+	Reachable     bool    `json:"reachable"`
+	Leads         bool    `json:"leads"`
+	Leader        string  `json:"leader"` // whom it takes for the leader
+	Term          uint64  `json:"term"`
+	RequestTokens float64 `json:"stateRequestTokens"`
+	WriteTokens   float64 `json:"stateWriteTokens"`
+	CloudTokens   float64 `json:"cloudTokens"`
+}
+
+// Overview is the whole site as one node can see it. Cluster is nil while no
+// leader answers.
+type Overview struct {
+	Nodes   []NodeStatus   `json:"nodes"`
+	Cluster *leader.Status `json:"cluster"`
+}
+
+func (n *Node) own() NodeStatus {
+	s := NodeStatus{Label: n.set.Label, Reachable: true, Leads: n.leading.Load() != nil, CloudTokens: n.cloud.Tokens()}
+	s.Leader, s.Term = n.elector.Leader()
+	s.RequestTokens, s.WriteTokens = n.store.Budget.Left()
+	return s
+}
+
+// Status answers other nodes: this node's own state and, if it leads, the
+// cluster's, as JSON.
+func (n *Node) Status(ctx context.Context) ([]byte, error) {
+	o := Overview{Nodes: []NodeStatus{n.own()}}
+	if l := n.leading.Load(); l != nil {
+		if st, ok := l.Status(ctx); ok {
+			o.Cluster = &st
+		}
+	}
+	return json.Marshal(o)
+}
+
+// overview asks all nodes.
+func (n *Node) overview(ctx context.Context) Overview {
+	var all Overview
+	add := func(label string, raw []byte, err error) {
+		var o Overview
+		if err != nil || json.Unmarshal(raw, &o) != nil || len(o.Nodes) != 1 {
+			all.Nodes = append(all.Nodes, NodeStatus{Label: label})
+			return
+		}
+		all.Nodes = append(all.Nodes, o.Nodes[0])
+		if o.Cluster != nil && (all.Cluster == nil || o.Cluster.Term > all.Cluster.Term) {
+			all.Cluster = o.Cluster
+		}
+	}
+	raw, err := n.Status(ctx)
+	add(n.set.Label, raw, err)
+	for _, k := range n.set.Known {
+		raw, err := n.peers.Status(ctx, k.Label)
+		add(k.Label, raw, err)
+	}
+	return all
+}
+
+// registerOperators adds what operators ask for; it is no part of the
+// protocol and costs nothing while nobody asks.
+func (n *Node) registerOperators(mux *http.ServeMux) {
+	mux.HandleFunc("GET /cluster", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), tuning.UserPatience)
+		defer cancel()
+		intake.WriteJSON(w, http.StatusOK, n.overview(ctx))
+	})
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(&collector{n})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: tuning.UserPatience}))
+}
+
+// collector gathers metrics when they are asked for. Their number is bounded
+// by the teams, classes and pools of a site; none goes by job or machine.
+type collector struct{ n *Node }
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("thornnotch_"+name, help, labels, nil)
+}
+
+// Describe sends nothing: the set depends on the site.
+func (c *collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect reports this node and, if it leads, the cluster.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	put := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	own := c.n.own()
+	leads := 0.0
+	if own.Leads {
+		leads = 1
+	}
+	put(desc("leads", "1 if this node leads."), leads)
+	put(desc("term", "The newest term that this node knows."), float64(own.Term))
+	put(desc("state_request_tokens", "Requests to the state service that may be made at once."), own.RequestTokens)
+	put(desc("state_write_tokens", "Changes in the state service that may be made at once."), own.WriteTokens)
+	put(desc("cloud_tokens", "Calls to the cloud that may be made at once."), own.CloudTokens)
+	l := c.n.leading.Load()
+	if l == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tuning.MeshTimeout)
+	defer cancel()
+	st, ok := l.Status(ctx)
+	if !ok {
+		return
+	}
+	kind := map[bool]string{false: "ordinary", true: "spot"}
+	for _, m := range st.Machines {
+		put(desc("machines_up", "Machines up.", "type", "zone", "kind"), float64(m.Up), m.Type, m.Zone, kind[m.Spot])
+		put(desc("machines_busy", "Machines with tasks.", "type", "zone", "kind"), float64(m.Busy), m.Type, m.Zone, kind[m.Spot])
+	}
+	put(desc("machines_booting", "Machines rented that have not reported."), float64(st.Booting))
+	for _, q := range st.Queue {
+		put(desc("tasks_waiting", "Tasks that do not run yet.", "class", "team"), float64(q.Waiting), q.Class, q.Team)
+		put(desc("tasks_running", "Tasks on machines.", "class", "team"), float64(q.Running), q.Class, q.Team)
+	}
+	for _, t := range st.Teams {
+		put(desc("team_gpus", "GPUs that a team uses, held ones included.", "team"), t.GPUs, t.Team)
+		put(desc("team_gpus_held", "GPUs held for a team's pipelines.", "team"), t.HeldGPUs, t.Team)
+		put(desc("team_gpus_limit", "GPUs that a team may use.", "team"), t.GPUsLimit, t.Team)
+		put(desc("team_gpus_guaranteed", "GPUs that a team is guaranteed.", "team"), t.GPUsOwn, t.Team)
+	}
+}
--- /dev/null
+++ b/internal/standin/site.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/market"
+)
+
+// logJudge logs what runs where.
+type logJudge struct{ log *slog.Logger }
+
+func (l logJudge) Began(rig, zone string, _ bool, t fleet.TaskID, try uint64, _ *intake.Job) {
+	l.log.Info("task on machine", "piece", t, "try", try, "rig", rig, "zone", zone)
+}
+
+func (l logJudge) Ended(rig string, t fleet.TaskID, try uint64, done bool) {
+	l.log.Info("task off machine", "piece", t, "try", try, "rig", rig, "done", done)
+}
+
+// stored lets workers find a job's description where the nodes keep it.
+type stored struct{ s *State }
+
+func (j stored) Job(id string) (*intake.Job, bool) {
+	j.s.mu.Lock()
+	it, ok := j.s.items[intake.OpenPrefix+id]
+	j.s.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
+	var job intake.Job
+	if json.Unmarshal(it.V, &job) != nil {
+		return nil, false
+	}
+	return &job, true
+}
+
+type system struct{ *net.Dialer }
+
+func (system) Listen(network, addr string) (net.Listener, error) { return net.Listen(network, addr) }
+
+// ServeSite runs a state service, a cloud and its machines on this computer,
+// for the nodes that the settings describe, until ctx ends. The nodes' own
+// users' addresses are given by label, for the workers.
+func ServeSite(ctx context.Context, set *config.Settings, nodes map[string]string, log *slog.Logger) error {
+	state := NewState()
+	defer state.Close()
+	w := set.Params.Workers
+	meet := NewMeeting()
+	var addrs []string
+	for _, a := range nodes {
+		addrs = append(addrs, a)
+	}
+	cat := market.Catalog{RigTypes: []market.RigType{{SKU: "demo-4g", VCPUs: 32, Accelerators: 4, RAMGB: 256, CacheGB: 80, PullGBPerS: 1,
+		Rate: 10, MarketPrice: 5, ReadyS: 2, Halls: set.Params.Zones}}}
+	cloud := NewCloud(ctx, cat, 12, func(ctx context.Context, h market.Host) {
+		wk := NewWorker(WorkerOptions{Name: h.NameID, Addr: h.Endpoint, Type: h.RigType, Zone: h.Hall, Spot: h.Loaners, Nodes: addrs, Labels: nodes,
+			Report: config.Seconds(w.ReportS), Lease: config.Seconds(w.LeaseS), Fetch: time.Second, GangWait: config.Seconds(w.GangWaitS)},
+			system{&net.Dialer{}}, stored{state}, logJudge{log}, meet)
+		if err := wk.Run(ctx); err != nil && ctx.Err() == nil {
+			log.Error("machine ended", "rig", h.NameID, "err", err)
+		}
+	})
+	errs := make(chan error, 2)
+	for addr, h := range map[string]http.Handler{set.Services.State: state, set.Services.Cloud: cloud} {
+		if !strings.HasPrefix(addr, "127.") {
+			return fmt.Errorf("stand-ins serve on loopback only, not on %s", addr)
+		}
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+		context.AfterFunc(ctx, func() { srv.Close() })
+		go func() { errs <- srv.Serve(l) }()
+	}
+	log.Info("stand-ins serve", "state", set.Services.State, "cloud", set.Services.Cloud)
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-errs:
+		return err
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -184,6 +184,8 @@
 	UserPatience = 3500 * time.Millisecond
 	// PollPatience is the same for a poll; users give up after 2 s.
 	PollPatience = 1700 * time.Millisecond
+	// ClientTimeout bounds a command's request to a node.
+	ClientTimeout = 8 * time.Second
 	// HelloPatience bounds a worker's wait for a leader that is still reading
 	// its records; workers give up after 4 s.
 	HelloPatience = 3 * time.Second
