--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -125,38 +125,32 @@
 	return c.show(a)
 }
 
-type getCmd struct {
-	client
-	ID string `arg:"" help:"The job's name."`
-}
-
-func (c *getCmd) Run() error {
-	a, err := c.call(http.MethodGet, "/work/"+c.ID, nil)
+// about asks a node something of one job, and shows the answer.
+func (c client) about(id, method, path string) error {
+	a, err := c.call(method, path, nil)
 	if err != nil {
 		return err
 	}
 	if a.status != http.StatusOK {
-		return a.problem(c.ID)
+		return a.problem(id)
 	}
 	return c.show(a)
 }
 
-type cancelCmd struct {
+type getCmd struct {
 	client
 	ID string `arg:"" help:"The job's name."`
 }
 
-func (c *cancelCmd) Run() error {
-	a, err := c.call(http.MethodPost, "/work/"+c.ID+"/cancel", nil)
-	if err != nil {
-		return err
-	}
-	if a.status != http.StatusOK {
-		return a.problem(c.ID)
-	}
-	return c.show(a)
+func (c *getCmd) Run() error { return c.about(c.ID, http.MethodGet, "/work/"+c.ID) }
+
+type cancelCmd struct {
+	client
+	ID string `arg:"" help:"The job's name."`
 }
 
+func (c *cancelCmd) Run() error { return c.about(c.ID, http.MethodPost, "/work/"+c.ID+"/cancel") }
+
 type statusCmd struct {
 	client
 }
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -11,9 +11,6 @@
 	"thornnotch/internal/tuning"
 )
 
-// waitingShown bounds how many waiting tasks of a job one pass looks at.
-const waitingShown = 400
-
 // pass runs placement over the present state and books what it decides.
 func (l *Leader) pass(now time.Time) {
 	l.dirty = false
@@ -174,7 +171,7 @@
 		return
 	}
 	first := true
-	for i := j.low; i < j.spec.Pieces && len(v.Waiting) < waitingShown; i++ {
+	for i := j.low; i < j.spec.Pieces && len(v.Waiting) < tuning.WaitingShown; i++ {
 		if j.did.has(i) || len(j.seats[i]) > 0 {
 			continue
 		}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -3,24 +3,8 @@
 import (
 	"sort"
 	"time"
-)
 
-// Weights of a machine's score, in seconds of delay that they are worth.
-const (
-	// spareOrdinary keeps ordinary machines for jobs that can't use others.
-	spareOrdinary = 4.0
-	// spareEmpty keeps machines whole for gangs, and lets others run empty so
-	// that they can be returned.
-	spareEmpty = 3.0
-	// sparePart fills machines that have the image one after the other.
-	sparePart = 10.0
-	// spareWhole is what it is worth not to break the last whole machine that
-	// gangs which can't use spot machines could take; it is shared out over
-	// as many as there are.
-	spareWhole = 30.0
-	// claimKept is how much longer a waiting gang stays with the machine that
-	// it already waits for than another would have to be quicker.
-	claimKept = 20.0
+	"thornnotch/internal/tuning"
 )
 
 // Decide runs one pass over the world.
@@ -164,21 +148,21 @@
 		s += j.Spec.ExpectS * (1/r.Speed - 1)
 	}
 	if _, n := r.heldFor(j); n > 0 {
-		s -= spareEmpty
+		s -= tuning.SpareEmpty
 	}
 	if j.Spec.Loaners && !r.Spot {
-		s += spareOrdinary
+		s += tuning.SpareOrdinary
 		if j.Spec.Shape != "gang" && r.used == (Room{}) && p.whole > 0 {
-			s += spareWhole / float64(p.whole)
+			s += tuning.SpareWhole / float64(p.whole)
 		}
 	}
 	if j.Spec.Shape != "gang" && r.Total.GPUs > 0 {
 		if _, have := r.Cached[j.Spec.Bundle]; have || !r.Spot {
-			s += sparePart * (1 - r.used.GPUs/r.Total.GPUs)
+			s += tuning.SparePart * (1 - r.used.GPUs/r.Total.GPUs)
 		} else {
 			// The image must be fetched anyway: on a machine that gangs can't
 			// use it had better come to one more machine than to few.
-			s += spareEmpty * r.used.GPUs / r.Total.GPUs
+			s += tuning.SpareEmpty * r.used.GPUs / r.Total.GPUs
 		}
 	}
 	return s
@@ -445,7 +429,7 @@
 				}
 				o.cost = 1e6 + left.Seconds() + r.delay(j)
 				if j.Claims[r.Name] {
-					o.cost -= claimKept
+					o.cost -= tuning.ClaimKept
 				}
 			}
 		} else {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -13,8 +13,6 @@
 	LeaseTTL = 2500 * time.Millisecond
 	// LeaseRenew is the time between renewals: three tries fit in one TTL.
 	LeaseRenew = 700 * time.Millisecond
-	// CampaignRetry is the least pause between two tries at an election.
-	CampaignRetry = 150 * time.Millisecond
 	// WatchBlock is how long one watch request waits. Every answer, empty or
 	// not, renews the leader's certainty of knowing all cancellations, so it
 	// must be short against cancel_s; one request a second is cheap.
@@ -120,9 +118,37 @@
 	ArrivalMemory = 5 * time.Minute
 	// SummaryEvery is the time between two summaries in the debug log.
 	SummaryEvery = 5 * time.Second
-	// NoticeGrace is the remaining notice below which a machine that is
-	// being taken back gets no new tasks saved: they are stopped at once.
-	NoticeGrace = 1 * time.Second
+)
+
+// Weights of a machine's score for a task, in seconds of delay that they are
+// worth.
+const (
+	// SpareOrdinary keeps ordinary machines for jobs that can't use others.
+	SpareOrdinary = 4.0
+	// SpareEmpty keeps machines whole for gangs, and lets others run empty so
+	// that they can be returned.
+	SpareEmpty = 3.0
+	// SparePart fills machines that have the image one after the other.
+	SparePart = 10.0
+	// SpareWhole is what it is worth not to break the last whole machine that
+	// gangs which can't use spot machines could take; it is shared out over
+	// as many as there are.
+	SpareWhole = 30.0
+	// ClaimKept is how much longer a waiting gang stays with the machine that
+	// it already waits for than another would have to be quicker.
+	ClaimKept = 20.0
+)
+
+// Order among equals.
+const (
+	// LateStanding is how far behind a job that has just missed its last aim
+	// stands; LateRise is how many seconds of age move it up by one.
+	LateStanding = 90 * time.Second
+	LateRise     = 2
+	// WaitingShown bounds how many waiting tasks of a job one pass looks at.
+	WaitingShown = 400
+	// RoundingSlack forgives rounding in sums of decimal amounts.
+	RoundingSlack = 1e-6
 )
 
 // Holds.
