--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -44,8 +44,10 @@
 
 // BudgetSettings are the parts of the allowed rates that are used.
 type BudgetSettings struct {
-	// LeaderShare is the leader's part of the calls to the state service.
-	LeaderShare float64 `yaml:"leader_share"`
+	// LeaderShare is the leader's part of the calls to the state service,
+	// LeaderWriteShare its part of the changes.
+	LeaderShare      float64 `yaml:"leader_share"`
+	LeaderWriteShare float64 `yaml:"leader_write_share"`
 	// Use is the part of every allowed rate that is planned for.
 	Use float64 `yaml:"use"`
 }
@@ -54,7 +56,7 @@
 func DefaultOperator() Operator {
 	return Operator{
 		Holds:   HoldSettings{Enabled: true, Alpha: tuning.HoldAlpha, P: tuning.HoldP, Threshold: tuning.HoldThreshold},
-		Budgets: BudgetSettings{LeaderShare: tuning.LeaderShare, Use: tuning.BudgetUse},
+		Budgets: BudgetSettings{LeaderShare: tuning.LeaderShare, LeaderWriteShare: tuning.LeaderWriteShare, Use: tuning.BudgetUse},
 		Renting: RentSettings{Spare: tuning.RentSpare, Keep: tuning.KeepSpare},
 	}
 }
@@ -98,6 +100,9 @@
 	if !(op.Budgets.LeaderShare > 0 && op.Budgets.LeaderShare < 1) {
 		bad("budgets.leader_share", "between 0 and 1", op.Budgets.LeaderShare)
 	}
+	if !(op.Budgets.LeaderWriteShare > 0 && op.Budgets.LeaderWriteShare < 1) {
+		bad("budgets.leader_write_share", "between 0 and 1", op.Budgets.LeaderWriteShare)
+	}
 	if !(op.Budgets.Use > 0 && op.Budgets.Use <= 1) {
 		bad("budgets.use", "above 0 and at most 1", op.Budgets.Use)
 	}
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -61,9 +61,10 @@
 
 // waiter is a report that has not been answered yet.
 type waiter struct {
-	shift uint64
-	until time.Time
-	reply chan<- Reply
+	shift   uint64
+	arrived time.Time
+	until   time.Time
+	reply   chan<- Reply
 }
 
 // rig finds a machine, or makes a new one.
@@ -452,7 +453,7 @@
 	if len(r.m.Attempts) == 0 {
 		hold = min(tuning.IdleHold, l.lease/4)
 	}
-	r.waiter = &waiter{shift: rep.Shift, until: arrived.Add(hold), reply: ch}
+	r.waiter = &waiter{shift: rep.Shift, arrived: arrived, until: arrived.Add(hold), reply: ch}
 	l.waiters[r] = true
 	if r.m.HasOrders() {
 		l.wake(r)
@@ -482,6 +483,17 @@
 	}
 }
 
+// startsPend tells whether a start waits only for its record: its `run` can go
+// into the present answer, and would wait for the worker's next report else.
+func (r *rig) startsPend() bool {
+	for _, a := range r.m.Attempts {
+		if !a.Sent && !a.Halt && a.Shift == r.m.Shift {
+			return true
+		}
+	}
+	return false
+}
+
 // answer answers a waiting report if it is time to.
 func (l *Leader) answer(r *rig, now time.Time) {
 	w := r.waiter
@@ -492,7 +504,7 @@
 	if w.shift != r.m.Shift || r.m.Deaf {
 		w.reply <- Reply{Status: 503}
 	} else {
-		if now.Before(w.until) && !r.m.HasOrders() {
+		if !r.m.HasOrders() && (now.Before(w.until) || now.Before(w.arrived.Add(tuning.PendingHold)) && r.startsPend()) {
 			return
 		}
 		orders := r.m.Orders(true, now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,15 +79,17 @@
 
 // share is this node's part of the calls to the state service.
 func (n *Node) share(leads bool) (rps, writeRPS float64) {
-	part := 1.0
-	if others := n.set.Params.Count - 1; others > 0 {
-		part = (1 - n.op.Budgets.LeaderShare) / float64(others)
-		if leads {
-			part = n.op.Budgets.LeaderShare
+	part := func(leaders float64) float64 {
+		others := n.set.Params.Count - 1
+		switch {
+		case others <= 0:
+			return n.op.Budgets.Use
+		case leads:
+			return leaders * n.op.Budgets.Use
 		}
+		return (1 - leaders) / float64(others) * n.op.Budgets.Use
 	}
-	part *= n.op.Budgets.Use
-	return n.set.Params.State.RPS * part, n.set.Params.State.WriteRPS * part
+	return n.set.Params.State.RPS * part(n.op.Budgets.LeaderShare), n.set.Params.State.WriteRPS * part(n.op.Budgets.LeaderWriteShare)
 }
 
 // FitMachine keeps the Go runtime within the machine's limits.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -53,9 +53,11 @@
 	DialTimeout = 4 * time.Second
 	// StateConns is the number of connections a node keeps to the service.
 	StateConns = 24
-	// LeaderShare is the leader's part of the request and write budgets: it
-	// writes every start and finish. The other nodes share the rest.
-	LeaderShare = 0.6
+	// LeaderShare and LeaderWriteShare are the leader's parts of the request
+	// and write budgets; the other nodes share the rest. The leader writes
+	// every start and finish, while all nodes answer polls alike.
+	LeaderShare      = 0.45
+	LeaderWriteShare = 0.72
 	// BudgetUse is the part of the allowed rate that is planned for; the
 	// rest absorbs clocks that disagree about a second.
 	BudgetUse = 0.94
@@ -102,7 +104,9 @@
 	AnswerHold = 400 * time.Millisecond
 	// IdleHold is the same for a machine with nothing running, which has
 	// nothing to report. Workers give an answer up after 4 s.
-	IdleHold = 1200 * time.Millisecond
+	IdleHold = 2600 * time.Millisecond
+	// PendingHold is the same for one whose starts wait for their record.
+	PendingHold = 2600 * time.Millisecond
 	// FlushEvery is the step in which held answers run out.
 	FlushEvery = 25 * time.Millisecond
 	// RecordQuiet is how long the record of a machine's holds and images, which
@@ -110,12 +114,12 @@
 	RecordQuiet = 2500 * time.Millisecond
 	// LogRing is the number of keys that log entries go round in. A takeover
 	// reads them all; at a few KiB each that is a few pages.
-	LogRing = 512
+	LogRing = 1024
 	// LogSlack is kept free in the ring for the entries of one transaction.
 	LogSlack = 8
 	// CheckpointAfter is how many entries a takeover may have to read on top of
 	// the last checkpoint before the next is begun.
-	CheckpointAfter = 96
+	CheckpointAfter = 320
 	// TxnBytes bounds the values of one transaction; the state service takes
 	// 64 KiB with all names and conditions.
 	TxnBytes = 36 << 10
