--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -26,7 +26,8 @@
 	spec  *intake.Job
 	view  placement.Job
 	stamp uint64 // revision of its record, which never changes
-	seen  time.Time
+	// servedAt is when a task of it was last given a place, or it came.
+	servedAt time.Time
 
 	did   bitset // finished tasks
 	safe  bitset // those whose completion is recorded
@@ -104,7 +105,7 @@
 		return
 	}
 	j := &job{
-		spec: &spec, stamp: stamp, seen: now,
+		spec: &spec, stamp: stamp, servedAt: now,
 		did: make(bitset, (spec.Pieces+7)/8), safe: make(bitset, (spec.Pieces+7)/8),
 		exits: make(map[*fleet.Attempt]*rig), stale: true, seats: make(map[int][]seat), avoid: make(map[string]time.Time),
 		again: make(map[int]bool),
@@ -118,7 +119,7 @@
 	l.pipelines[p] = append(l.pipelines[p], j)
 	l.arrivals[spec.Workload]++
 	if at := j.view.Submitted; now.Sub(at) <= tuning.RecentWindow {
-		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, spec.Pieces)})
+		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, spec.Pieces), l.wantsWhole(&spec)})
 	}
 	l.dirty = true
 	l.d.Log.Debug("job", "id", name, "owner", spec.Owner, "workload", spec.Workload, "pieces", spec.Pieces)
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"time"
 
+	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
 	"thornnotch/internal/placement"
@@ -86,6 +88,40 @@
 		"waiting", fmt.Sprint(waits), "booting", len(l.market.booting), "rigs", len(l.rigs))
 }
 
+// spare is how many whole ordinary machines ought to be free for the gangs
+// that are to be expected: as many as came lately. Only gangs that can use no
+// others, may stop nobody, and are meant to start soon need any.
+func (l *Leader) spare(now time.Time) int {
+	cat := l.d.Catalog()
+	sum := 0.0
+	for _, n := range l.market.recent {
+		if !n.whole || now.Sub(n.at) > tuning.RecentWindow {
+			continue
+		}
+		for _, t := range cat.RigTypes {
+			per := (placement.Room{VCPUs: t.VCPUs, GPUs: t.Accelerators, RAM: t.RAMGB}).Count(n.demand.Need, n.demand.Pieces)
+			if per > 0 {
+				sum += float64(n.demand.Pieces) / float64(per)
+				break
+			}
+		}
+	}
+	return int(math.Ceil(sum * tuning.SpareHorizon.Seconds() / tuning.RecentWindow.Seconds()))
+}
+
+// wantsWhole tells whether whole machines are kept for jobs like this one.
+func (l *Leader) wantsWhole(spec *intake.Job) bool {
+	if spec.Shape != intake.Gang || spec.Loaners || intake.Priority(spec.Urgency) > intake.Priority("standard") {
+		return false
+	}
+	for _, o := range l.d.Settings.Params.Objectives {
+		if o.Kind == "wait" && o.Class == spec.Workload && config.Seconds(o.WithinS) <= tuning.SpareAim {
+			return true
+		}
+	}
+	return false
+}
+
 // ownerUse is what one attempt or hold adds to its team's use.
 type ownerUse struct {
 	owner string
@@ -117,6 +153,7 @@
 	}
 	rigs := l.sortedRigs()
 	w.Rigs = make([]*placement.Rig, 0, len(rigs))
+	ordinary := 0
 	for _, r := range rigs {
 		if r.view == nil || r.stale || now.Sub(r.viewAt) > tuning.ViewAge {
 			l.showRig(r, now)
@@ -124,8 +161,12 @@
 		// Placement may put work only on machines that have shown our token:
 		// a report may be a late copy of one from a machine that is no more.
 		r.view.Open = r.view.Total != (placement.Room{}) && r.open(now) && r.m.Warrant == l.grant.Term
+		if r.view.Open && !r.view.Spot {
+			ordinary++
+		}
 		w.Rigs = append(w.Rigs, r.view)
 	}
+	w.Spare = min(l.spare(now), int(float64(ordinary)*tuning.SpareMost))
 	for _, t := range l.teams {
 		w.Teams[t.Name] = &placement.Team{Name: t.Name, Used: l.use[t.Name],
 			Guarantee: placement.Room{VCPUs: t.CPUs, GPUs: t.GPUs}, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}}
@@ -186,6 +227,7 @@
 	v := &j.view
 	v.Weigh(now, l.share(j.spec.Workload))
 	v.Blocked = now.Before(j.notBefore)
+	v.Passed = now.Sub(j.servedAt)
 	if !j.stale && len(j.avoid) == 0 {
 		return
 	}
@@ -316,6 +358,7 @@
 		a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: j.spec.NameID, Index: s.Index}, Try: try},
 			Shift: r.m.Shift, PlannedAt: now}
 		r.m.Attempts[a.ID] = a
+		j.servedAt = now
 		l.occupy(r, a)
 		l.noteAdd(r, a)
 		if l.book.Use(r.m.Name, j.view.Pipeline()) {
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -37,6 +37,7 @@
 type arrival struct {
 	at     time.Time
 	demand market.Demand
+	whole  bool // a gang that whole ordinary machines are kept for
 }
 
 type booting struct {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -52,17 +53,49 @@
 		return 0
 	})
 	p.keepClaims()
-	for _, j := range w.Jobs {
-		if j.Blocked || len(j.Waiting) == 0 || w.Teams[j.Spec.Owner] == nil {
+	for from := 0; from < len(w.Jobs); {
+		to := from + 1
+		for to < len(w.Jobs) && rankAs(w.Jobs[from], w.Jobs[to]) {
+			to++
+		}
+		p.rank(w.Jobs[from:to])
+		from = to
+	}
+	return p.plan
+}
+
+// rankAs tells whether two jobs differ only in the time that they have left.
+func rankAs(a, b *Job) bool {
+	return a.Overdue == b.Overdue && a.Priority == b.Priority && a.Guaranteed == b.Guaranteed
+}
+
+// rank places jobs of one rank. A slot whose machine would have to fetch the
+// first job's image while the next one's is there goes to the next one, as
+// long as the first has not been passed over for longer than the fetch takes.
+// What nobody takes in this way goes in order after all.
+func (p *pass) rank(jobs []*Job) {
+	type rest struct {
+		job  *Job
+		from int
+	}
+	var again []rest
+	for _, j := range jobs {
+		if j.Blocked || len(j.Waiting) == 0 || p.Teams[j.Spec.Owner] == nil {
 			continue
 		}
 		if j.Spec.Shape == "gang" {
 			p.gang(j)
-		} else {
-			p.sweep(j)
+		} else if done := p.sweep(j, 0, j.Passed.Seconds()+tuning.LocalDelay); done < len(j.Waiting) {
+			again = append(again, rest{j, done})
+		}
+	}
+	for _, r := range again {
+		done := p.sweep(r.job, r.from, math.Inf(1))
+		if done < len(r.job.Waiting) {
+			p.plan.Unmet = append(p.plan.Unmet, r.job)
+			p.makeRoom(r.job, len(r.job.Waiting)-done)
 		}
 	}
-	return p.plan
 }
 
 // standing is what decides whether a task may be stopped.
@@ -319,23 +352,29 @@
 
 // takes tells whether one more task of a sweep may go to the machine.
 func (p *pass) takes(j *Job, r *Rig, need Room) bool {
+	if j.Spec.Loaners && !r.Spot && r.used == (Room{}) && p.whole <= p.Spare {
+		// Whole ordinary machines are kept for gangs that can use no others.
+		return false
+	}
 	return p.usable(j, r) && zoneAllows(j, r.Zone) && r.free(j).Fits(need) && p.limitAllows(j, r)
 }
 
-func (p *pass) sweep(j *Job) {
+// sweep places a job's waiting tasks from one on, on machines that have its
+// image within patience seconds, and tells up to which one it came.
+func (p *pass) sweep(j *Job, from int, patience float64) int {
 	need := Need(j.Spec)
 	if !p.Teams[j.Spec.Owner].Allows(need) && len(p.held[j.Pipeline()]) == 0 {
-		p.plan.Unmet = append(p.plan.Unmet, j)
-		return
+		return from
 	}
 	c := p.cands[:0]
 	for _, r := range p.roomy {
-		if p.takes(j, r, need) {
+		if p.takes(j, r, need) && r.delay(j) <= patience {
 			c = append(c, candidate{r, p.score(r, j)})
 		}
 	}
 	heap.Init(&c)
-	for i, index := range j.Waiting {
+	defer func() { p.cands = c[:0] }()
+	for i := from; i < len(j.Waiting); i++ {
 		// A put changes the score of its own machine, and makes whole ones
 		// dearer: what comes to the top is looked at again.
 		for len(c) > 0 {
@@ -351,15 +390,13 @@
 			break
 		}
 		if len(c) == 0 {
-			p.plan.Unmet = append(p.plan.Unmet, j)
-			p.makeRoom(j, len(j.Waiting)-i)
-			break
+			return i
 		}
-		p.put(j, index, c[0].rig)
+		p.put(j, j.Waiting[i], c[0].rig)
 		c[0].score = p.score(c[0].rig, j)
 		heap.Fix(&c, 0)
 	}
-	p.cands = c[:0]
+	return len(j.Waiting)
 }
 
 func (p *pass) gang(j *Job) {
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -153,7 +153,9 @@
 	Waiting    []int
 	Zones      map[string]int // tasks that may be on machines, by zone
 	Avoid      map[string]bool
-	Blocked    bool // may not start now: backing off, or an old attempt stands
+	// Passed is how long none of its tasks has been given a place.
+	Passed  time.Duration
+	Blocked bool // may not start now: backing off, or an old attempt stands
 	// Claims are the machines that the last pass kept for the job.
 	Claims map[string]bool
 	// Targets are the latest times after submission at which the job can
@@ -210,6 +212,9 @@
 	Rigs  []*Rig
 	Jobs  []*Job
 	Teams map[string]*Team
+	// Spare is how many whole ordinary machines are left to gangs that can use
+	// no others by jobs that can.
+	Spare int
 }
 
 // Start puts one task on a machine.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -204,6 +204,16 @@
 	// gangs which can't use spot machines could take; it is shared out over
 	// as many as there are.
 	SpareWhole = 30.0
+	// LocalDelay is the wait for an image, in seconds, up to which it counts as
+	// there already.
+	LocalDelay = 0.5
+	// SpareHorizon is how far ahead gangs are expected when whole machines are
+	// kept for them: about what it takes for others to come free. Gangs whose
+	// users wait longer than SpareAim for a start anyway need none kept.
+	SpareHorizon = 45 * time.Second
+	SpareAim     = 100 * time.Second
+	// SpareMost is the largest part of all ordinary machines that is kept.
+	SpareMost = 0.0
 	// ClaimKept is how much longer a waiting gang stays with the machine that
 	// it already waits for than another would have to be quicker.
 	ClaimKept = 20.0
