--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -213,7 +213,7 @@
 	SpareHorizon = 45 * time.Second
 	SpareAim     = 100 * time.Second
 	// SpareMost is the largest part of all ordinary machines that is kept.
-	SpareMost = 0.0
+	SpareMost = 0.5
 	// ClaimKept is how much longer a waiting gang stays with the machine that
 	// it already waits for than another would have to be quicker.
 	ClaimKept = 20.0
