Overdue gangs keep their zone and take others' claims; tests for deaf machines, copies, sums

TestLargestGangBegins showed that an overdue gang of eight still waited for ever: smaller gangs' claims kept its machines, and its choice of zone changed from pass to pass. It is lifted after 60 s instead of 110.

--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -160,11 +160,15 @@
 				}
 				switch {
 				case msg.report != nil:
-					ev, fresh := m.Observe(msg.report, simTerm, msg.direct, now)
+					if !msg.direct && m.Copy(msg.report) {
+						return
+					}
+					ev, _ := m.Observe(msg.report, simTerm, msg.direct, now)
 					release(ev)
-					if msg.direct || !fresh && (msg.report.Shift != m.Shift || m.Shift <= m.EndedShift) {
+					if msg.direct || msg.report.Shift <= m.EndedShift || m.Deaf {
 						return
 					}
+					m.ReportTick = max(m.ReportTick, msg.report.Tick)
 					m.Answered = now
 					net = append(net, message{answer: &Answer{Warrant: simTerm, Orders: m.Orders(true, now)},
 						tick: msg.report.Tick, shift: msg.report.Shift})
@@ -222,6 +226,117 @@
 	}
 }
 
+// hear makes a machine that has taken in a first report.
+func hear(now time.Time) (*Machine, func(tick uint64, pieces ...Piece) *Report) {
+	m := NewMachine("m-1")
+	rep := func(tick uint64, pieces ...Piece) *Report {
+		return &Report{Rig: "m-1", RigType: "t", Hall: "z", Shift: 1, Tick: tick, Warrant: simTerm, Pieces: pieces}
+	}
+	m.Observe(rep(1), simTerm, false, now)
+	m.Answered = now
+	return m, rep
+}
+
+// TestDeafMachine: a worker whose reports go on but do not show what it was
+// told is taken for deaf: the start is taken back, as the report proves it
+// never arrived, and no 200 goes out until the worker shows that it hears.
+func TestDeafMachine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m, rep := hear(now)
+	id := AttemptID{TaskID{"j-1", 0}, 7}
+	m.Attempts[id] = &Attempt{ID: id, Shift: 1, Committed: true, Cleared: true}
+	tick := uint64(1)
+	for i := 1; i <= 2; i++ {
+		if m.Deaf {
+			t.Fatalf("deaf after %d reports", i-1)
+		}
+		if got := m.Orders(true, now); len(got) != 1 || got[0].Verb != Run {
+			t.Fatalf("orders %v", got)
+		}
+		now = now.Add(6 * time.Second)
+		if !m.Suspect(now) {
+			t.Errorf("a start missing for 6 s raises no doubt")
+		}
+		tick++
+		ev, _ := m.Observe(rep(tick), simTerm, false, now)
+		if gone := len(ev) == 1 && ev[0].Why == Gone; gone != (i == 2) {
+			t.Fatalf("report %d: %v", i, ev)
+		}
+	}
+	if !m.Deaf || len(m.Attempts) != 0 {
+		t.Fatalf("deaf %v, attempts %v", m.Deaf, m.Attempts)
+	}
+	// Reports alone do not make it hear; an answer to a command does.
+	m.Observe(rep(8), simTerm, false, now)
+	if !m.Deaf {
+		t.Errorf("a report is taken for a sign that it hears")
+	}
+	m.Observe(rep(9), simTerm, true, now)
+	if m.Deaf {
+		t.Errorf("it stays deaf for ever")
+	}
+}
+
+// TestIgnoredStops: the same for a task that runs on although it was stopped.
+func TestIgnoredStops(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m, rep := hear(now)
+	p := Piece{Piece: "j-1/0", Try: 7, Status: Running}
+	id := AttemptID{TaskID{"j-1", 0}, 7}
+	m.Attempts[id] = &Attempt{ID: id, Shift: 1, Sent: true}
+	m.Observe(rep(2, p), simTerm, false, now)
+	m.Withdraw(m.Attempts[id], 0, now)
+	for i := uint64(0); i < 3; i++ {
+		m.Observe(rep(3+i, p), simTerm, false, now.Add(time.Duration(i)*7*time.Second))
+		if want := i == 2; m.Deaf != want {
+			t.Errorf("after %d reports with the task: deaf %v", i+1, m.Deaf)
+		}
+	}
+	if len(m.Attempts) != 1 {
+		t.Errorf("a task that still runs was let go")
+	}
+}
+
+// TestNewSessionInsideTheLease: a session that ends although its last report
+// was answered proves that the answer did not arrive.
+func TestNewSessionInsideTheLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m, rep := hear(now)
+	next := rep(20)
+	next.Shift = 2
+	if !m.Unreached(next, simLease, now.Add(6*time.Second)) {
+		t.Errorf("not noticed")
+	}
+	if m.Unreached(next, simLease, now.Add(simLease+time.Second)) || m.Unreached(rep(20), simLease, now) {
+		t.Errorf("an ordinary report is taken for it")
+	}
+}
+
+// TestCopiesRenewNothing: copies of reports, of this session or an older one,
+// are told apart, also when an answer to a command has gone before; a report
+// that such an answer has overtaken is no copy.
+func TestCopiesRenewNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m, rep := hear(now)
+	m.Observe(rep(5), simTerm, false, now)
+	m.Observe(rep(9), simTerm, true, now) // the answer to a command
+	old := rep(50)
+	old.Shift = 0
+	for _, c := range []struct {
+		r    *Report
+		copy bool
+	}{{rep(1), true}, {rep(4), true}, {rep(5), true}, {rep(7), false}, {rep(10), false}, {old, true}} {
+		if got := m.Copy(c.r); got != c.copy {
+			t.Errorf("shift %d tick %d: copy %v, want %v", c.r.Shift, c.r.Tick, got, c.copy)
+		}
+	}
+	m.Answered = now
+	m.CheckLease(simTerm, simLease, now.Add(simLease+2*time.Second))
+	if !m.Copy(rep(60)) {
+		t.Errorf("a report of a session that is over counts")
+	}
+}
+
 // TestSilenceOfUnknownToken: a worker that has not shown our token may still
 // be renewed by an older leader, so its silence proves nothing.
 func TestSilenceOfUnknownToken(t *testing.T) {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -4,19 +4,25 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"os"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/ledger"
 	"thornnotch/internal/market"
+	"thornnotch/internal/seeded"
 	"thornnotch/internal/term"
 	"thornnotch/internal/tuning"
 )
 
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m, 300)) }
+
 func testLeader(t testing.TB) *Leader {
 	t.Helper()
 	set := &config.Settings{Params: config.Params{Teams: []config.Team{{Name: "a", GPUs: 8, GPUsMax: 16}},
@@ -381,3 +387,196 @@
 		}
 	}
 }
+
+// TestLateCopyIsNoContact: a late copy of a report neither renews a lease nor
+// brings a machine back that was returned, and a machine known by nothing but
+// one report gets no work before it has shown this term's token.
+func TestLateCopyIsNoContact(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	l.sure = now
+	r := addRig(l, "m-1", "east", now)
+	answered := r.m.Answered
+	copyOf := report(l, r, "", "")
+	copyOf.Tick = 1
+	ch := make(chan Reply, 1)
+	l.hello(copyOf, now.Add(time.Second), ch)
+	select {
+	case a := <-ch:
+		if a.Status != 503 || !r.m.Answered.Equal(answered) || r.waiter != nil {
+			t.Errorf("a copy got %d, answered %v", a.Status, r.m.Answered)
+		}
+	default:
+		t.Errorf("a copy is kept waiting")
+	}
+	l.market.returned["m-9"] = now
+	l.hello(&fleet.Report{Rig: "m-9", RigType: "g4", Hall: "east", Shift: 1, Tick: 1, Warrant: 3}, now, ch)
+	if a := <-ch; a.Status != 503 || l.rigs["m-9"] != nil {
+		t.Errorf("a returned machine is back: %d", a.Status)
+	}
+	delete(l.rigs, "m-1")
+	l.ordered = nil
+	j := addJob(t, l, sweep("j-1", 1), now)
+	stale := &fleet.Report{Rig: "m-2", RigType: "g4", Hall: "east", Shift: 1, Tick: 400, Warrant: l.grant.Term - 1}
+	l.hello(stale, now, ch)
+	l.pass(now)
+	if len(j.seats) != 0 {
+		t.Fatalf("work was put on a machine that may be no more")
+	}
+	stale.Tick, stale.Warrant = 401, l.grant.Term
+	l.hello(stale, now, ch)
+	l.pass(now)
+	if len(j.seats) != 1 {
+		t.Errorf("a machine under our token gets no work")
+	}
+}
+
+// TestDeafMachineGetsNothing: no work and no 200 for a machine that does not
+// hear, and its lease is counted from the last 200 before.
+func TestDeafMachineGetsNothing(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	l.sure = now
+	r := addRig(l, "m-1", "east", now)
+	last := r.m.Answered
+	r.m.Deaf = true
+	l.touch(r)
+	ch := make(chan Reply, 1)
+	l.hello(report(l, r, "", ""), now.Add(time.Second), ch)
+	l.flush(now.Add(3 * time.Second))
+	if a := <-ch; a.Status != 503 || !r.m.Answered.Equal(last) {
+		t.Errorf("it got %d, its lease counts from %v", a.Status, r.m.Answered.Sub(last))
+	}
+	j := addJob(t, l, sweep("j-1", 1), now)
+	l.pass(now)
+	if len(j.seats) != 0 {
+		t.Errorf("it got work")
+	}
+	if ev := r.m.CheckLease(l.grant.Term, l.lease, last.Add(l.lease+2*time.Second)); r.m.EndedShift != 1 {
+		t.Errorf("its session never ends: %v", ev)
+	}
+}
+
+// TestUseIsCountedByChange: whatever happens, in whatever order, the running
+// sums of the teams' use equal a full count of what may be on machines.
+func TestUseIsCountedByChange(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Now()
+		l := testLeader(t)
+		l.sure = now
+		l.teams = append(l.teams, config.Team{Name: "b", GPUs: 4, GPUsMax: 12})
+		epoch, jobs, machines := uint64(100), 0, 0
+		pick := func() *rig {
+			list := l.sortedRigs()
+			if len(list) == 0 {
+				rt.Skip()
+			}
+			return rapid.SampledFrom(list).Draw(rt, "rig")
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"machine": func(*rapid.T) {
+				if machines++; machines > 6 {
+					rt.Skip()
+				}
+				addRig(l, fmt.Sprint("m-", machines), []string{"east", "west"}[machines%2], now)
+			},
+			"job": func(*rapid.T) {
+				jobs++
+				spec := sweep(fmt.Sprint("j-", jobs), rapid.IntRange(1, 5).Draw(rt, "pieces"))
+				spec.Owner = rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "owner")
+				if rapid.Bool().Draw(rt, "gang") {
+					spec.Shape, spec.SamePlace, spec.Pieces = intake.Gang, true, 2
+				}
+				addJob(t, l, spec, now)
+			},
+			"pass":   func(*rapid.T) { l.pass(now) },
+			"commit": func(*rapid.T) { epoch = settle(l, epoch) },
+			"report": func(*rapid.T) {
+				r := pick()
+				status := rapid.SampledFrom([]string{fleet.Fetching, fleet.Running, fleet.Exited}).Draw(rt, "status")
+				cause := ""
+				if status == fleet.Exited {
+					cause = rapid.SampledFrom([]string{fleet.CauseDone, "halted", fleet.CauseError}).Draw(rt, "cause")
+				}
+				rep := report(l, r, status, cause)
+				if rapid.IntRange(0, 4).Draw(rt, "some") == 0 {
+					rep.Pieces = rep.Pieces[:len(rep.Pieces)/2]
+				}
+				r.m.Orders(true, now)
+				l.observe(r, rep, false, now)
+			},
+			"cancel": func(*rapid.T) {
+				if jobs > 0 {
+					l.jobGone(fmt.Sprint("j-", rapid.IntRange(1, jobs).Draw(rt, "job")), now)
+				}
+			},
+			"session": func(*rapid.T) {
+				r := pick()
+				rep := report(l, r, fleet.Running, "")
+				rep.Shift, rep.Pieces = rep.Shift+1, nil
+				l.observe(r, rep, false, now)
+			},
+			"returned": func(*rapid.T) {
+				r := pick()
+				l.events(r, r.m.Returned(), now)
+				l.forget(r)
+				l.committer.log.Gone(r.m.Name)
+			},
+			"time": func(*rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 20).Draw(rt, "s")) * time.Second) },
+			"": func(*rapid.T) {
+				w, _ := l.world(now)
+				want := map[string]float64{}
+				for _, r := range l.rigs {
+					for _, a := range r.m.Attempts {
+						if a.Live() {
+							want[l.ownerOf(a)] += l.needOf(a).GPUs
+						}
+					}
+					for _, h := range l.book.On(r.m.Name) {
+						want[h.Pipeline.Owner] += h.Room.GPUs
+					}
+				}
+				for name, team := range w.Teams {
+					if d := team.Used.GPUs - want[name]; d > 1e-6 || d < -1e-6 {
+						rt.Fatalf("team %s: %v counted, %v there", name, team.Used.GPUs, want[name])
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestOldRecordsAreRead: the records of the earlier format are taken in, and
+// removed once a checkpoint holds what they held.
+func TestOldRecordsAreRead(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	j := addJob(t, l, sweep("j-1", 20), now)
+	rigs := []ledger.Row{{K: "rig/m-1", Stamp: 5, V: json.RawMessage(
+		`{"t":"g4","z":"east","e":"h:1","h":2,"a":[{"p":"j-1/3","t":9,"h":2},{"p":"j-0/0","t":8,"h":2}],"j":{"j-0":{"w":"a","r":[1,2,3]},"j-1":{"w":"a","r":[1,1,1]}},"i":[{"n":"img","g":5}]}`)}}
+	dids := []ledger.Row{{K: "did/j-1/0", Stamp: 6, V: json.RawMessage(`"BQAA"`)}, {K: "did/j-1/x", Stamp: 7, V: json.RawMessage(`7`)}}
+	if err := l.restoreOld(rigs, dids, now); err != nil {
+		t.Fatal(err)
+	}
+	r := l.rigs["m-1"]
+	if len(j.seats[3]) != 1 || j.doneN != 2 || !j.safe.has(2) || r.m.Zone != "east" || len(r.images) != 1 || l.ghosts["j-0"].need.GPUs != 2 {
+		t.Errorf("not all was read: seats %v, %d done, %+v", j.seats, j.doneN, r.m)
+	}
+	r.m.Endpoint = ""
+	l.checkpoint()
+	settleAll(l, 100)
+	if len(l.committer.remains) != 0 || l.legacy != nil {
+		t.Errorf("they are not removed: %v", l.committer.remains)
+	}
+	if err := l.restoreOld([]ledger.Row{{K: "rig/m-2", V: json.RawMessage(`"x"`)}}, nil, now); err == nil {
+		t.Errorf("a machine's record that can't be read may hide a task, and is passed over")
+	}
+}
+
+// settleAll also writes what can wait: checkpoints and removals.
+func settleAll(l *Leader, epoch uint64) {
+	for l.next() != nil {
+		epoch++
+		l.committed(outcome{epoch: epoch})
+	}
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -193,11 +193,14 @@
 }
 
 func (p *pass) usable(j *Job, r *Rig) bool {
-	return r.Open && r.Seats > 0 && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || !r.claimed.Overdue && outranks(j, r.claimed))
+	return r.Open && r.Seats > 0 && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || outranks(j, r.claimed))
 }
 
 // outranks tells whether a job stands above another whatever the time.
 func outranks(a, b *Job) bool {
+	if a.Overdue != b.Overdue {
+		return a.Overdue
+	}
 	return a.Priority > b.Priority || a.Priority == b.Priority && a.Guaranteed && !b.Guaranteed
 }
 
@@ -565,7 +568,7 @@
 	best := make(map[string][]option) // the n cheapest, by zone if it matters
 	var zones []string
 	for _, r := range p.Rigs {
-		if !p.usable(j, r) || r.claimed != nil && r.claimed != j || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
+		if !p.usable(j, r) || r.claimed != nil && r.claimed != j && !j.Overdue || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
 			continue
 		}
 		o, ok := p.option(j, r, need, n, mayStop)
@@ -670,6 +673,9 @@
 	o.cost = 1e6 + r.left.Seconds() + r.delay(j)
 	if j.Claims[r.Name] {
 		o.cost -= tuning.ClaimKept
+		if j.Overdue {
+			o.cost -= tuning.ClaimKeptOverdue
+		}
 	}
 	return o, true
 }
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -272,3 +274,105 @@
 		t.Errorf("slacks %v, %v, %v, %v", tight.Slack, loose.Slack, late.Slack, ancient.Slack)
 	}
 }
+
+// TestLargestGangBegins: under a steady flow of smaller work that would fill
+// every machine, of equal and of higher priority, the largest gangs begin
+// within the four minutes that the users demand.
+func TestLargestGangBegins(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	type running struct {
+		job *Job
+		rig int
+		end time.Time
+	}
+	start := time.Unix(10000, 0)
+	var tasks []running
+	var jobs []*Job
+	began := map[string]time.Duration{}
+	submit := func(name, shape, urgency string, pieces int, gpus float64, now time.Time) {
+		s := &intake.Job{NameID: name, Workload: shape + fmt.Sprint(pieces), Owner: "a", Shape: shape, Urgency: urgency, Pieces: pieces,
+			Accelerators: gpus, VCPUs: 1, RAMGB: 1, SamePlace: shape == "gang", Loaners: shape != "gang", Bundle: "img"}
+		j := &Job{Spec: s, Priority: intake.Priority(urgency), Order: uint64(len(began) + len(jobs) + 1), Submitted: now}
+		for i := range pieces {
+			j.Waiting = append(j.Waiting, i)
+		}
+		jobs = append(jobs, j)
+	}
+	n := 0
+	for now := start; now.Before(start.Add(15 * time.Minute)); now = now.Add(time.Second) {
+		// More comes than there is room for.
+		for range 2 {
+			n++
+			submit(fmt.Sprint("sweep-", n), "sweep", "standard", 10, 1, now)
+		}
+		if n%18 == 0 {
+			submit(fmt.Sprint("small-", n), "gang", "standard", 2, 4, now)
+			submit(fmt.Sprint("urgent-", n), "gang", "urgent", 1, 4, now)
+		}
+		if s := now.Sub(start); s%(2*time.Minute) == 0 && s < 11*time.Minute {
+			submit(fmt.Sprint("large-", s.Seconds()), "gang", "standard", 8, 4, now)
+		}
+		kept := tasks[:0]
+		for _, x := range tasks {
+			if x.end.After(now) {
+				kept = append(kept, x)
+			}
+		}
+		tasks = kept
+		w := &World{Now: now, Teams: map[string]*Team{"a": {Name: "a", Max: Room{}}}}
+		for i := range 40 {
+			r := &Rig{Name: fmt.Sprintf("m-%02d", i), Type: "g4", Zone: []string{"x", "y"}[i%2], Open: true, Seats: 50,
+				Total: Room{VCPUs: 32, GPUs: 4, RAM: 256}, Cached: map[string]time.Duration{"img": 0}}
+			for _, x := range tasks {
+				if x.rig == i {
+					r.Slots = append(r.Slots, Slot{Job: x.job, Room: Need(x.job.Spec), Left: x.end.Sub(now), Loss: time.Minute})
+				}
+			}
+			w.Rigs = append(w.Rigs, r)
+		}
+		var open []*Job
+		for _, j := range jobs {
+			if len(j.Waiting) > 0 {
+				j.Weigh(now, 1)
+				open = append(open, j)
+			}
+		}
+		jobs = open
+		w.Jobs = append([]*Job(nil), open...)
+		MarkOverdue(open, now)
+		plan := Decide(w)
+		for _, j := range open {
+			j.Claims = nil
+		}
+		for _, c := range plan.Claims {
+			if c.Job.Claims == nil {
+				c.Job.Claims = map[string]bool{}
+			}
+			c.Job.Claims[c.Rig.Name] = true
+		}
+		for _, s := range plan.Starts {
+			ran := 30 + rnd.IntN(40)
+			if s.Job.Spec.Shape == "gang" {
+				ran = 150
+			}
+			at, _ := strconv.Atoi(s.Rig.Name[2:])
+			tasks = append(tasks, running{s.Job, at, now.Add(time.Duration(ran) * time.Second)})
+			left := s.Job.Waiting[:0:0]
+			for _, i := range s.Job.Waiting {
+				if i != s.Index {
+					left = append(left, i)
+				}
+			}
+			s.Job.Waiting = left
+			if _, ok := began[s.Job.Spec.NameID]; !ok {
+				began[s.Job.Spec.NameID] = now.Sub(s.Job.Submitted)
+			}
+		}
+	}
+	for s := 0; s < 660; s += 120 {
+		name := fmt.Sprint("large-", s)
+		if after, ok := began[name]; !ok || after > 4*time.Minute {
+			t.Errorf("%s began after %v (%v)", name, after, ok)
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -217,6 +217,9 @@
 	// ClaimKept is how much longer a waiting gang stays with the machine that
 	// it already waits for than another would have to be quicker.
 	ClaimKept = 20.0
+	// ClaimKeptOverdue is the same on top for one that is overdue: it must
+	// come to an end with the zone it has begun to gather in.
+	ClaimKeptOverdue = 300.0
 )
 
 // Order among equals.
@@ -226,10 +229,10 @@
 	LateStanding = 90 * time.Second
 	LateRise     = 2
 	// OverdueAfter is how long a gang of several tasks waits before it may be
-	// lifted over all others: half of the four minutes within which the users
-	// want the largest jobs to begin, as gathering whole machines takes the
-	// rest. OverdueMost is how many are lifted at once.
-	OverdueAfter = 110 * time.Second
+	// lifted over all others: the users want the largest jobs to begin within
+	// four minutes, and gathering whole machines takes most of these.
+	// OverdueMost is how many are lifted at once.
+	OverdueAfter = 60 * time.Second
 	OverdueMost  = 4
 	// RoomTries is how many waiting jobs one pass seeks to make room for.
 	RoomTries = 32
