A machine whose session ended under its reports must show that it hears

Cause: a cut of one direction was noticed only by chance. With no answer a worker goes round all nodes, so it comes back to the leader in a new session each time, and got new tasks each time (TestOneWayCut counts them). Now such a machine is asked directly first, and gets no work until something has arrived.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -69,6 +69,10 @@
 	// do not reach it. It gets neither work nor a 200 until it shows that it
 	// hears again.
 	Deaf bool
+	// Doubt is set when a session has ended although the worker goes on
+	// reporting: it may hear again, or never have heard our answers. It gets
+	// no work until something we sent has evidently arrived.
+	Doubt bool
 	// Ignored counts the reports in a row that show a stop not carried out.
 	Ignored int
 	// Warrant is the highest token that the worker has reported.
@@ -125,13 +129,14 @@
 		return nil, false
 	}
 	if r.Shift > m.Shift {
+		m.Doubt = m.Doubt || m.Known && m.Shift > 0
 		events = append(events, m.endSession(r.Shift-1)...)
 		m.Shift = r.Shift
 		m.ReportTick = 0
 	}
 	m.Tick = r.Tick
 	if direct {
-		m.Deaf, m.Ignored = false, 0 // a command has reached it
+		m.heard() // a command has reached it
 	} else {
 		m.ReportTick = r.Tick
 	}
@@ -139,7 +144,9 @@
 	m.Heard = now
 	if r.Warrant > m.Warrant {
 		m.Warrant = r.Warrant
-		m.Deaf, m.Ignored = m.Deaf && r.Warrant != term, 0
+		if r.Warrant == term {
+			m.heard()
+		}
 	}
 	if m.Warrant == term && m.TokenSeen.IsZero() {
 		m.TokenSeen = now
@@ -172,6 +179,9 @@
 		}
 		if a.SeenAt.IsZero() {
 			a.SeenAt = now
+			if !a.Inherited {
+				m.heard() // it has carried out what we told it
+			}
 		}
 		changed := a.Status != p.Status
 		a.Status, a.Cause, a.Saved = p.Status, p.Cause, p.Saved
@@ -197,6 +207,9 @@
 	return events, true
 }
 
+// heard notes that something we sent has arrived.
+func (m *Machine) heard() { m.Deaf, m.Doubt, m.Ignored = false, false, 0 }
+
 // listen looks for signs that orders do not reach the worker: starts that two
 // later reports do not list, or stops that several do not heed. Starts that
 // never arrived are withdrawn; the report that shows it proves them gone.
@@ -249,13 +262,6 @@
 	return r.Shift < m.Shift || r.Shift <= m.EndedShift || r.Shift == m.Shift && r.Tick <= m.ReportTick
 }
 
-// Unreached tells whether a report of a new session proves that an answer
-// was lost: the session before has run out within the lease that the answer
-// would have given it.
-func (m *Machine) Unreached(r *Report, lease time.Duration, now time.Time) bool {
-	return m.Known && r.Shift > m.Shift && m.Shift > 0 && !m.Answered.IsZero() && now.Sub(m.Answered) < lease-tuning.LeaseProofMargin
-}
-
 // absenceProves tells whether a report that does not list an attempt proves
 // that it is not on the machine and never will be.
 func (m *Machine) absenceProves(a *Attempt, r *Report, term uint64) bool {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -377,7 +377,7 @@
 		l.press(r, now)
 		r.suspect = r.m.Suspect(now)
 		switch {
-		case r.m.Deaf:
+		case r.m.Deaf || r.m.Doubt:
 			l.probe(r, now)
 		case r.m.Warrant < l.grant.Term && shown < tuning.ShowsAtOnce && !r.calling && now.Sub(r.called) >= l.lease/2:
 			// Show the worker the new token, so that it turns to this node
