Idle machines of an earlier term are given time to report before they are returned

Idle machines have no record, so it knew them from the cloud's list alone and took their age for the time that they had failed to report. Ruled out: records lost (all with tasks were there), slow boots (they had been up for minutes).

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -212,6 +212,23 @@
 	}
 }
 
+// TestIdleMachinesOutliveATakeover guards against an incident: a new leader knew
+// idle machines from the cloud's list alone, took their age for the time that
+// they had failed to come up, and returned 19 of them at once.
+func TestIdleMachinesOutliveATakeover(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	l.listed([]market.Host{{NameID: "m-1", RigType: "g4", Hall: "east", Status: "running", HeldS: 400},
+		{NameID: "m-2", RigType: "g4", Hall: "east", Status: "starting", HeldS: 400}}, now)
+	if names := l.returns(now.Add(2 * time.Second)); len(names) != 0 {
+		t.Errorf("returned before they could report: %v", names)
+	}
+	addRig(l, "m-1", "east", now.Add(3*time.Second))
+	if names := l.returns(now.Add(l.lease + 5*time.Second)); len(names) != 1 || names[0] != "m-2" {
+		t.Errorf("returned: %v, want the one that never came up", names)
+	}
+}
+
 // TestCloudOutageIsQuiet guards against an incident: during an outage of the
 // cloud the leader asked twice a second and logged every refusal.
 func TestCloudOutageIsQuiet(t *testing.T) {
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -43,6 +43,7 @@
 type booting struct {
 	pool  market.Pool
 	since time.Time
+	noted time.Time // when this term learnt of it
 }
 
 func (m *marketState) init() {
@@ -183,7 +184,9 @@
 	}
 	for name, b := range l.market.booting {
 		typ, _ := l.d.Catalog().Type(b.pool.Type)
-		if limit := time.Duration(typ.ReadyS * tuning.BootPatience * float64(time.Second)); now.Sub(b.since) > limit && l.rigs[name] == nil {
+		// A machine of an earlier term that has no record was idle: its worker
+		// needs a moment to turn to this node.
+		if limit := time.Duration(typ.ReadyS * tuning.BootPatience * float64(time.Second)); now.Sub(b.since) > limit && now.Sub(b.noted) > l.lease && l.rigs[name] == nil {
 			l.d.Log.Info("machine never came up", "rig", name)
 			names = append(names, name)
 		}
@@ -297,7 +300,7 @@
 		default:
 			if _, known := m.booting[h.NameID]; !known {
 				since := now.Add(-time.Duration(h.HeldS * float64(time.Second)))
-				m.booting[h.NameID] = booting{market.Pool{Type: h.RigType, Zone: h.Hall, Spot: h.Loaners}, since}
+				m.booting[h.NameID] = booting{market.Pool{Type: h.RigType, Zone: h.Hall, Spot: h.Loaners}, since, now}
 			}
 		}
 	}
@@ -322,7 +325,7 @@
 				l.d.Log.Info("rented", "type", pool.Type, "zone", pool.Zone, "spot", pool.Spot, "asked", req.Count, "got", len(names))
 				for _, name := range names {
 					if l.rigs[name] == nil {
-						m.booting[name] = booting{pool, now}
+						m.booting[name] = booting{pool, now, now}
 					}
 				}
 				if len(names) < req.Count {
