--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -57,6 +57,8 @@
 	// task that it lost before it ran may be replaced under that number.
 	gangTry uint64
 	short   bool
+	// gatherFrom is when the gang may take its places one by one again.
+	gatherFrom time.Time
 
 	failures  int
 	notBefore time.Time
@@ -323,6 +325,14 @@
 	l.haltGang(j, 0, now)
 }
 
+// dissolve stops what an earlier term had placed of a gang that lacks tasks: it
+// can't be completed any more, and would wait in vain.
+func (l *Leader) dissolve(j *job, now time.Time) {
+	if n := len(j.seats); j.spec.Shape == intake.Gang && n > 0 && n < j.spec.Pieces && !j.closing {
+		l.haltGang(j, j.spec.StashS+tuning.StopGrace.Seconds(), now)
+	}
+}
+
 // mayReplace tells whether the rest of the gang still waits, as far as is
 // known. Should it have started after all, the rest exits for want of the lost
 // task, and that stops the replacement too. Attempts of earlier terms are not
@@ -362,7 +372,11 @@
 		if r.faulty() {
 			l.d.Log.Info("machine taken for faulty", "rig", r.m.Name)
 		}
-	case "alone", "mates_gone", "halted":
+	case "alone":
+		// What it still lacked did not come free in time.
+		j.again[a.ID.Task.Index] = true
+		j.gatherFrom = now.Add(tuning.GatherPause)
+	case "mates_gone", "halted":
 		j.again[a.ID.Task.Index] = true
 	default:
 		// Refused: the worker knows better than our books; look again soon.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -289,6 +289,7 @@
 	}
 	for _, j := range l.jobs {
 		l.checkComplete(j)
+		l.dissolve(j, now)
 	}
 	l.dirty = true
 	l.loaded = true
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -354,6 +354,55 @@
 	}
 }
 
+// TestGatheringGang: a gang that takes its places one by one has one number,
+// each start waits for its own record, and a takeover in between ends it.
+func TestGatheringGang(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	free, busy := addRig(l, "m-1", "east", now), addRig(l, "m-2", "east", now)
+	other := addJob(t, l, sweep("j-0", 1), now)
+	other.spec.Accelerators, other.spec.Loaners, other.spec.ExpectS = 4, false, 6
+	l.pass(now)
+	epoch := settle(l, 100)
+	if len(busy.m.Attempts) > 0 {
+		free, busy = busy, free
+	}
+	for _, r := range []*rig{free, busy} {
+		r.m.Orders(true, now)
+		l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	}
+	spec := sweep("j-1", 2)
+	spec.Shape, spec.SamePlace, spec.Accelerators = intake.Gang, true, 4
+	j := addJob(t, l, spec, now)
+	l.pass(now)
+	if len(j.seats) != 1 || !j.short {
+		t.Fatalf("%d places taken, short %v", len(j.seats), j.short)
+	}
+	epoch = settle(l, epoch)
+	if first := sortedSeats(j)[0].a; !first.Cleared {
+		t.Errorf("the first start does not leave")
+	}
+	l.observe(free, report(l, free, fleet.Exited, fleet.CauseDone), false, now)
+	l.observe(busy, report(l, busy, fleet.Exited, fleet.CauseDone), false, now)
+	settle(l, epoch)
+	l.pass(now)
+	if s := sortedSeats(j); len(s) == 2 && s[0].a.ID.Try != s[1].a.ID.Try {
+		t.Errorf("two numbers: %v %v", s[0].a.ID, s[1].a.ID)
+	}
+
+	next := testLeader(t)
+	next.grant.Term++
+	j = addJob(t, next, spec, now)
+	r := addRig(next, "m-1", "east", now)
+	a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: "j-1"}, Try: 9}, Shift: 1, Inherited: true, Sent: true, Committed: true}
+	r.m.Attempts[a.ID] = a
+	next.occupy(r, a)
+	next.dissolve(j, now)
+	if !a.Halt {
+		t.Errorf("a gang that can't be completed waits on after a takeover")
+	}
+}
+
 // TestWaitingGangIsCompleted: a gang that loses a task before it runs gets a
 // replacement under the same number, in the same zone; one that has run, or
 // that is told that its mates are gone, starts anew as a whole.
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -35,8 +35,9 @@
 	}
 	l.place(plan, jobs, now)
 	for _, s := range plan.Starts {
-		if j := jobs[s.Job.Spec.NameID]; j != nil && len(j.seats) == j.spec.Pieces {
-			j.short = false
+		if j := jobs[s.Job.Spec.NameID]; j != nil && j.spec.Shape == intake.Gang {
+			// What a gang lacks yet is placed under the same number.
+			j.short, j.stale = len(j.seats) < j.spec.Pieces, true
 		}
 	}
 	for _, v := range w.Jobs {
@@ -228,6 +229,10 @@
 	v.Weigh(now, l.share(j.spec.Workload))
 	v.Blocked = now.Before(j.notBefore)
 	v.Passed = now.Sub(j.servedAt)
+	v.Gather = 0
+	if now.After(j.gatherFrom) {
+		v.Gather = time.Duration(l.d.Settings.Params.Workers.GangWaitS * tuning.GatherPart * float64(time.Second))
+	}
 	if !j.stale && len(j.avoid) == 0 {
 		return
 	}
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -153,6 +153,9 @@
 	Waiting    []int
 	Zones      map[string]int // tasks that may be on machines, by zone
 	Avoid      map[string]bool
+	// Gather is within which time the rest of a gang's places must come free
+	// for it to take the first ones; 0: it starts as a whole or not at all.
+	Gather time.Duration
 	// Passed is how long none of its tasks has been given a place.
 	Passed  time.Duration
 	Blocked bool // may not start now: backing off, or an old attempt stands
@@ -237,7 +240,8 @@
 	Rig *Rig
 }
 
-// Plan is what a pass decided. The starts of a gang are all there or none.
+// Plan is what a pass decided. The starts of a gang are all there or none,
+// unless it gathers.
 type Plan struct {
 	Starts []Start
 	Evicts []Evict
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -214,6 +214,13 @@
 	SpareAim     = 100 * time.Second
 	// SpareMost is the largest part of all ordinary machines that is kept.
 	SpareMost = 0.5
+	// GatherPart of gang_wait_s is the time within which the rest of a gang's
+	// places must come free for it to take the first ones: the last ones have
+	// to fetch their image then, while the first ones wait.
+	GatherPart = 0.35
+	// GatherPause is how long a gang that gave up waiting in its first places
+	// starts as a whole only.
+	GatherPause = 60 * time.Second
 	// ClaimKept is how much longer a waiting gang stays with the machine that
 	// it already waits for than another would have to be quicker.
 	ClaimKept = 20.0
