--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -629,7 +629,7 @@
 		}
 		p.prepare(j, o, gang)
 		n -= max(1, o.coming)
-		for gather && at < len(j.Waiting) && o.rig.Seats > 0 && o.rig.free(j).Fits(need) {
+		for gather && at < len(j.Waiting) && o.rig.Seats > 0 && zoneAllows(j, o.rig.Zone) && o.rig.free(j).Fits(need) && p.limitAllows(j, o.rig) {
 			p.put(j, j.Waiting[at], o.rig)
 			at++
 		}
