--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -22,6 +22,7 @@
 	Leaving  int             `json:"leaving"`
 	State    RecordingStatus `json:"recording"`
 	Work     counts          `json:"work"`
+	Waiting  int             `json:"callsWaiting"`
 }
 
 // RecordingStatus tells whether records can be written.
@@ -94,7 +95,7 @@
 
 func (l *Leader) snapshot(now time.Time) Status {
 	st := Status{Term: l.grant.Term, Booting: len(l.market.booting),
-		State: RecordingStatus{Healthy: l.committer.backoff == 0, SureS: now.Sub(l.sure).Seconds(), Backlog: l.committer.log.Backlog()}, Work: l.counts}
+		State: RecordingStatus{Healthy: l.committer.backoff == 0, SureS: now.Sub(l.sure).Seconds(), Backlog: l.committer.log.Backlog()}, Work: l.counts, Waiting: len(l.calls)}
 	if l.committer.log.InFlight() {
 		st.State.UnwrittenS = now.Sub(l.committer.since).Seconds()
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -123,6 +123,22 @@
 	if !ok {
 		return
 	}
+	count := func(name, help string, v float64) {
+		ch <- prometheus.MustNewConstMetric(desc(name, help), prometheus.CounterValue, v)
+	}
+	w := st.Work
+	count("reports_total", "Reports of workers in this term.", float64(w.Reports))
+	count("late_copies_total", "Late copies of reports in this term.", float64(w.Copies))
+	count("orders_total", "Orders sent in answers in this term.", float64(w.Orders))
+	count("commands_total", "Direct calls to workers in this term.", float64(w.Commands))
+	count("passes_total", "Placement passes in this term.", float64(w.Passes))
+	count("pass_seconds_total", "Time spent in placement passes.", w.PassS)
+	count("commits_total", "Transactions of the log in this term.", float64(w.Commits))
+	count("commit_seconds_total", "Time that these took, waiting for tokens included.", w.CommitS)
+	count("busy_seconds_total", "Time that the leader's routine was at work.", w.BusyS)
+	put(desc("log_backlog", "Log entries that a takeover would read."), float64(st.State.Backlog))
+	put(desc("unwritten_seconds", "Age of the transaction under way."), st.State.UnwrittenS)
+	put(desc("calls_waiting", "Calls that wait for the leader's routine."), float64(st.Waiting))
 	kind := map[bool]string{false: "ordinary", true: "spot"}
 	for _, m := range st.Machines {
 		put(desc("machines_up", "Machines up.", "type", "zone", "kind"), float64(m.Up), m.Type, m.Zone, kind[m.Spot])
