--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -298,7 +298,9 @@
 		return expect, again
 	}
 	ran := now.Sub(a.RanAt)
-	left = max(expect-ran, 5*time.Second)
+	// The longer a task has run past its estimate, the longer it may go on:
+	// run times have long tails, and estimates are often far too low.
+	left = max(expect-ran, ran/3, 5*time.Second)
 	if j.spec.SnapshotS > 0 {
 		loss = time.Duration(j.spec.StashS*float64(time.Second)) + tuning.StopGrace
 	} else {
