Largest gangs are lifted only where they fare badly; gathering and estimates taken back

Now the leader follows how they fare, and lifts when more than 35 % are late.

Part of a gang left by an earlier term is stopped at once: kept.

--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -57,12 +57,11 @@
 	// task that it lost before it ran may be replaced under that number.
 	gangTry uint64
 	short   bool
-	// gatherFrom is when the gang may take its places one by one again.
-	gatherFrom time.Time
 
 	failures  int
 	notBefore time.Time
 	avoid     map[string]time.Time
+	noted     bool // how it fared among the largest of its class is known
 	closing   bool // all tasks are done, the final record is being written
 	moving    bool // a transaction with the final record is under way
 	gone      bool // cancelled or ended
@@ -120,6 +119,7 @@
 	p := j.view.Pipeline()
 	l.pipelines[p] = append(l.pipelines[p], j)
 	l.arrivals[spec.Workload]++
+	l.sized(&spec)
 	if at := j.view.Submitted; now.Sub(at) <= tuning.RecentWindow {
 		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, spec.Pieces), l.wantsWhole(&spec)})
 	}
@@ -292,6 +292,7 @@
 			l.d.Log.Debug("task seen", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name, "status", a.Status)
 			if j != nil && a.Status == fleet.Running && j.started.IsZero() {
 				j.started = now
+				l.fared(j, now)
 			}
 		case fleet.Gone:
 			if j != nil {
@@ -372,11 +373,7 @@
 		if r.faulty() {
 			l.d.Log.Info("machine taken for faulty", "rig", r.m.Name)
 		}
-	case "alone":
-		// What it still lacked did not come free in time.
-		j.again[a.ID.Task.Index] = true
-		j.gatherFrom = now.Add(tuning.GatherPause)
-	case "mates_gone", "halted":
+	case "alone", "mates_gone", "halted":
 		j.again[a.ID.Task.Index] = true
 	default:
 		// Refused: the worker knows better than our books; look again soon.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -104,7 +104,8 @@
 	// finished are jobs that ended here before the watch has told so.
 	finished map[string]bool
 	// ghosts are jobs that are over while attempts of them may still run.
-	ghosts map[string]*ghost
+	ghosts  map[string]*ghost
+	largest map[string]*largest // by class
 	// arrivals counts the jobs of each class, older ones for less.
 	arrivals map[string]float64
 }
@@ -122,6 +123,7 @@
 		finished:  make(map[string]bool),
 		ghosts:    make(map[string]*ghost),
 		arrivals:  make(map[string]float64),
+		largest:   make(map[string]*largest),
 		pipelines: make(map[placement.Pipeline][]*job),
 		use:       make(map[string]placement.Room),
 		waiters:   make(map[*rig]bool),
@@ -396,6 +398,7 @@
 	}
 	l.noteLazies(now)
 	for _, j := range l.jobs {
+		l.fared(j, now)
 		if !j.notBefore.IsZero() && now.After(j.notBefore) {
 			j.notBefore = time.Time{}
 			l.dirty = true
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -354,52 +354,58 @@
 	}
 }
 
-// TestGatheringGang: a gang that takes its places one by one has one number,
-// each start waits for its own record, and a takeover in between ends it.
-func TestGatheringGang(t *testing.T) {
+// TestLargestAreLiftedWhenLate: a class's largest gangs are lifted once too many
+// of them begin late, and no longer when they begin in time again.
+func TestLargestAreLiftedWhenLate(t *testing.T) {
 	now := time.Now()
 	l := testLeader(t)
-	free, busy := addRig(l, "m-1", "east", now), addRig(l, "m-2", "east", now)
-	other := addJob(t, l, sweep("j-0", 1), now)
-	other.spec.Accelerators, other.spec.Loaners, other.spec.ExpectS = 4, false, 6
-	l.pass(now)
-	epoch := settle(l, 100)
-	if len(busy.m.Attempts) > 0 {
-		free, busy = busy, free
+	n := 0
+	add := func(pieces int, began time.Duration) {
+		n++
+		spec := sweep(fmt.Sprint("j-", n), pieces)
+		spec.Shape, spec.SamePlace = intake.Gang, true
+		j := addJob(t, l, spec, now)
+		if began > 0 {
+			j.started = now.Add(began)
+			l.fared(j, now.Add(began))
+		} else {
+			l.fared(j, now.Add(tuning.LargestWithin+time.Second)) // it still waits
+		}
 	}
-	for _, r := range []*rig{free, busy} {
-		r.m.Orders(true, now)
-		l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	add(8, 20*time.Second)
+	add(2, 0) // a small one that is late does not count
+	if len(l.lift()) != 0 {
+		t.Fatalf("lifted although all is well: %v", l.lift())
 	}
-	spec := sweep("j-1", 2)
-	spec.Shape, spec.SamePlace, spec.Accelerators = intake.Gang, true, 4
-	j := addJob(t, l, spec, now)
-	l.pass(now)
-	if len(j.seats) != 1 || !j.short {
-		t.Fatalf("%d places taken, short %v", len(j.seats), j.short)
+	for range 3 {
+		add(8, 0)
 	}
-	epoch = settle(l, epoch)
-	if first := sortedSeats(j)[0].a; !first.Cleared {
-		t.Errorf("the first start does not leave")
+	if l.lift()["x"] != 8 {
+		t.Fatalf("late ones are not lifted: %+v", l.largest["x"])
 	}
-	l.observe(free, report(l, free, fleet.Exited, fleet.CauseDone), false, now)
-	l.observe(busy, report(l, busy, fleet.Exited, fleet.CauseDone), false, now)
-	settle(l, epoch)
-	l.pass(now)
-	if s := sortedSeats(j); len(s) == 2 && s[0].a.ID.Try != s[1].a.ID.Try {
-		t.Errorf("two numbers: %v %v", s[0].a.ID, s[1].a.ID)
+	for range 12 {
+		add(8, 30*time.Second)
+	}
+	if len(l.lift()) != 0 {
+		t.Errorf("lifted for ever: %+v", l.largest["x"])
 	}
+}
 
-	next := testLeader(t)
-	next.grant.Term++
-	j = addJob(t, next, spec, now)
-	r := addRig(next, "m-1", "east", now)
+// TestPartOfAGangEndsWithItsTerm: what an earlier term had placed of a gang that
+// lacks tasks can't be completed and must not wait on.
+func TestPartOfAGangEndsWithItsTerm(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	spec := sweep("j-1", 2)
+	spec.Shape, spec.SamePlace, spec.Accelerators = intake.Gang, true, 4
+	j := addJob(t, l, spec, now)
+	r := addRig(l, "m-1", "east", now)
 	a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: "j-1"}, Try: 9}, Shift: 1, Inherited: true, Sent: true, Committed: true}
 	r.m.Attempts[a.ID] = a
-	next.occupy(r, a)
-	next.dissolve(j, now)
+	l.occupy(r, a)
+	l.dissolve(j, now)
 	if !a.Halt {
-		t.Errorf("a gang that can't be completed waits on after a takeover")
+		t.Errorf("it waits on")
 	}
 }
 
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -35,9 +35,8 @@
 	}
 	l.place(plan, jobs, now)
 	for _, s := range plan.Starts {
-		if j := jobs[s.Job.Spec.NameID]; j != nil && j.spec.Shape == intake.Gang {
-			// What a gang lacks yet is placed under the same number.
-			j.short, j.stale = len(j.seats) < j.spec.Pieces, true
+		if j := jobs[s.Job.Spec.NameID]; j != nil && len(j.seats) == j.spec.Pieces {
+			j.short = false
 		}
 	}
 	for _, v := range w.Jobs {
@@ -173,7 +172,7 @@
 			Guarantee: placement.Room{VCPUs: t.CPUs, GPUs: t.GPUs}, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
 	placement.MarkGuaranteed(all, w.Teams)
-	placement.MarkOverdue(all, now)
+	placement.MarkOverdue(all, l.lift(), now)
 	for _, v := range all {
 		if len(v.Waiting) > 0 {
 			w.Jobs = append(w.Jobs, v)
@@ -229,10 +228,6 @@
 	v.Weigh(now, l.share(j.spec.Workload))
 	v.Blocked = now.Before(j.notBefore)
 	v.Passed = now.Sub(j.servedAt)
-	v.Gather = 0
-	if now.After(j.gatherFrom) {
-		v.Gather = time.Duration(l.d.Settings.Params.Workers.GangWaitS * tuning.GatherPart * float64(time.Second))
-	}
 	if !j.stale && len(j.avoid) == 0 {
 		return
 	}
@@ -298,9 +293,7 @@
 		return expect, again
 	}
 	ran := now.Sub(a.RanAt)
-	// The longer a task has run past its estimate, the longer it may go on:
-	// run times have long tails, and estimates are often far too low.
-	left = max(expect-ran, ran/3, 5*time.Second)
+	left = max(expect-ran, 5*time.Second)
 	if j.spec.SnapshotS > 0 {
 		loss = time.Duration(j.spec.StashS*float64(time.Second)) + tuning.StopGrace
 	} else {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -620,36 +620,13 @@
 			r.claimed = nil
 		}
 	}
-	list := best[chosen]
-	gather := gang && gathers(j, list, n)
-	at := 0
-	for _, o := range list {
+	for _, o := range best[chosen] {
 		if n <= 0 {
 			break
 		}
 		p.prepare(j, o, gang)
 		n -= max(1, o.coming)
-		for gather && at < len(j.Waiting) && o.rig.Seats > 0 && zoneAllows(j, o.rig.Zone) && o.rig.free(j).Fits(need) && p.limitAllows(j, o.rig) {
-			p.put(j, j.Waiting[at], o.rig)
-			at++
-		}
-	}
-}
-
-// gathers tells whether a gang may begin to take its places one by one: all
-// that it still waits for is to come free before the first ones give up.
-// Images are fetched meanwhile, and machines do not stand empty.
-func gathers(j *Job, list []option, n int) bool {
-	if j.Gather <= 0 {
-		return false
-	}
-	for _, o := range list {
-		if o.coming == 0 && o.rig.left > j.Gather {
-			return false
-		}
-		n -= max(1, o.coming)
 	}
-	return n <= 0
 }
 
 // option weighs one machine for a job that needs room.
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -28,8 +28,7 @@
 			Bundle: rapid.SampledFrom([]string{"i", "k"}).Draw(t, "image"), ImageGB: 5, ExpectS: 60, StashS: 1, SnapshotS: 10,
 			SamePlace: rapid.Bool().Draw(t, "samePlace"), Apart: rapid.Bool().Draw(t, "apart"), Loaners: rapid.Bool().Draw(t, "loaners"),
 			Hall: rapid.SampledFrom([]string{"", "", "z1"}).Draw(t, "hall")}
-		gather := time.Duration(rapid.IntRange(0, 1).Draw(t, "gather")) * 20 * time.Second
-		return &Job{Spec: s, Gather: gather, Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Order: uint64(id), Zones: map[string]int{}}
+		return &Job{Spec: s, Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Order: uint64(id), Zones: map[string]int{}}
 	}
 	var all []*Job
 	for i := range rapid.IntRange(1, 7).Draw(t, "rigs") {
@@ -147,7 +146,7 @@
 			}
 		}
 		for j, n := range count {
-			if j.Spec.Shape == intake.Gang && n != len(j.Waiting) && j.Gather == 0 {
+			if j.Spec.Shape == intake.Gang && n != len(j.Waiting) {
 				t.Fatalf("%s starts %d of %d", j.Spec.NameID, n, len(j.Waiting))
 			}
 		}
@@ -174,25 +173,6 @@
 		Priority: prio, Waiting: []int{0}}
 }
 
-// TestGangGathers: a gang takes the places that are free while the rest is
-// about to come free, and none at all when that will take too long.
-func TestGangGathers(t *testing.T) {
-	for _, c := range []struct {
-		left time.Duration
-		want int
-	}{{5 * time.Second, 1}, {50 * time.Second, 0}} {
-		other := sweepJob("j-0", "b", 1)
-		busy := &Rig{Name: "m-1", Type: "g", Zone: "z", Open: true, Seats: 9, Total: Room{8, 4, 16},
-			Slots: []Slot{{Job: other, Room: Room{1, 4, 1}, Left: c.left}}}
-		g := sweepJob("j-1", "a", 1)
-		g.Spec.Shape, g.Spec.Pieces, g.Waiting, g.Gather = intake.Gang, 2, []int{0, 1}, 20*time.Second
-		w := &World{Rigs: []*Rig{oneRig(), busy}, Jobs: []*Job{g}, Teams: map[string]*Team{"a": {Max: Room{GPUs: 8}}, "b": {Used: Room{GPUs: 4}}}}
-		if p := Decide(w); len(p.Starts) != c.want || len(p.Claims) != 2 {
-			t.Errorf("left %v: %d starts, %d claims", c.left, len(p.Starts), len(p.Claims))
-		}
-	}
-}
-
 // TestHoldsKeepPriority: the pipeline's own tasks use a hold, lower or equal
 // work skips it, higher work takes it, and it never keeps another team from
 // its guarantee.
@@ -359,7 +339,7 @@
 		}
 		jobs = open
 		w.Jobs = append([]*Job(nil), open...)
-		MarkOverdue(open, now)
+		MarkOverdue(open, map[string]int{"gang8": 8}, now)
 		plan := Decide(w)
 		for _, j := range open {
 			j.Claims = nil
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -153,9 +153,6 @@
 	Waiting    []int
 	Zones      map[string]int // tasks that may be on machines, by zone
 	Avoid      map[string]bool
-	// Gather is within which time the rest of a gang's places must come free
-	// for it to take the first ones; 0: it starts as a whole or not at all.
-	Gather time.Duration
 	// Passed is how long none of its tasks has been given a place.
 	Passed  time.Duration
 	Blocked bool // may not start now: backing off, or an old attempt stands
@@ -240,8 +237,7 @@
 	Rig *Rig
 }
 
-// Plan is what a pass decided. The starts of a gang are all there or none,
-// unless it gathers.
+// Plan is what a pass decided. The starts of a gang are all there or none.
 type Plan struct {
 	Starts []Start
 	Evicts []Evict
@@ -286,24 +282,21 @@
 	}
 }
 
-// MarkOverdue lifts a few gangs over all others: those that have waited
-// longest, of what is hard to place for its size. The users want the largest
-// jobs of a class to begin within some minutes whatever else is queued; being
-// few, the lifted ones take little from the rest.
-func MarkOverdue(unfinished []*Job, now time.Time) {
+// MarkOverdue lifts a few gangs over all others: those of the classes and from
+// the sizes that lift names, longest waiting first. The users want most of the
+// largest jobs of a class to begin within some minutes whatever else is queued.
+// Lifting costs the rest dearly, as machines stand empty until the last one of a
+// large gang comes free, so it is done only where it is needed, and to few.
+func MarkOverdue(unfinished []*Job, lift map[string]int, now time.Time) {
 	var late []*Job
 	for _, j := range unfinished {
 		j.Overdue = false
-		if j.Spec.Shape == intake.Gang && j.Spec.Pieces > 1 && len(j.Waiting) > 0 && now.Sub(j.Submitted) > tuning.OverdueAfter {
+		size := lift[j.Spec.Workload]
+		if size > 1 && j.Spec.Pieces >= size && j.Spec.Shape == intake.Gang && len(j.Waiting) > 0 && now.Sub(j.Submitted) > tuning.OverdueAfter {
 			late = append(late, j)
 		}
 	}
-	slices.SortFunc(late, func(a, b *Job) int {
-		if a.Spec.Pieces != b.Spec.Pieces {
-			return b.Spec.Pieces - a.Spec.Pieces
-		}
-		return cmp.Compare(a.Order, b.Order)
-	})
+	slices.SortFunc(late, func(a, b *Job) int { return cmp.Compare(a.Order, b.Order) })
 	for _, j := range late[:min(len(late), tuning.OverdueMost)] {
 		j.Overdue = true
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -214,13 +214,6 @@
 	SpareAim     = 100 * time.Second
 	// SpareMost is the largest part of all ordinary machines that is kept.
 	SpareMost = 0.5
-	// GatherPart of gang_wait_s is the time within which the rest of a gang's
-	// places must come free for it to take the first ones: the last ones have
-	// to fetch their image then, while the first ones wait.
-	GatherPart = 0.35
-	// GatherPause is how long a gang that gave up waiting in its first places
-	// starts as a whole only.
-	GatherPause = 60 * time.Second
 	// ClaimKept is how much longer a waiting gang stays with the machine that
 	// it already waits for than another would have to be quicker.
 	ClaimKept = 20.0
@@ -235,12 +228,18 @@
 	// stands; LateRise is how many seconds of age move it up by one.
 	LateStanding = 90 * time.Second
 	LateRise     = 2
-	// OverdueAfter is how long a gang of several tasks waits before it may be
-	// lifted over all others: the users want the largest jobs to begin within
-	// four minutes, and gathering whole machines takes most of these.
+	// OverdueAfter is how long a gang waits before it may be lifted over all
+	// others: gathering whole machines takes most of the users' four minutes.
 	// OverdueMost is how many are lifted at once.
 	OverdueAfter = 60 * time.Second
 	OverdueMost  = 4
+	// LargestWithin is the wait from which on one of a class's largest jobs
+	// counts as late: somewhat less than the users' four minutes. When more than
+	// LargestLate of them are, they are lifted; the users' bound is a half.
+	// LargestMemory is what an older one counts, for each that comes after.
+	LargestWithin = 210 * time.Second
+	LargestLate   = 0.35
+	LargestMemory = 0.9
 	// RoomTries is how many waiting jobs one pass seeks to make room for.
 	RoomTries = 32
 	// WaitingShown bounds how many waiting tasks of a job one pass looks at.
