--- a/internal/leader/largest.go
+++ b/internal/leader/largest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"thornnotch/internal/intake"
+	"thornnotch/internal/placement"
 	"thornnotch/internal/tuning"
 )
 
@@ -11,7 +12,7 @@
 // minutes. Large gangs need many whole machines at once, and where there is more
 // work than room, smaller work takes each machine as it comes free. How the
 // largest jobs fare is therefore followed, class by class; where too many of
-// them begin late, those that wait are lifted over all others.
+// them begin late, those that wait are lifted over others.
 
 // largest follows the largest gangs of one class.
 type largest struct {
@@ -31,9 +32,20 @@
 	}
 }
 
-// needsLift tells whether too many begin late.
-func (g *largest) needsLift() bool {
-	return g.late > 0 && g.late > tuning.LargestLate*(g.good+g.late)
+// lift tells how far they must be lifted: over others of their priority when
+// too many begin late, over all others when the users' bound is near.
+func (g *largest) lift() placement.Lift {
+	part := 0.0
+	if g.late > 0 {
+		part = g.late / (g.good + g.late)
+	}
+	switch {
+	case part > tuning.LargestPressing:
+		return placement.LiftAll
+	case part > tuning.LargestLate:
+		return placement.LiftEqual
+	}
+	return placement.NoLift
 }
 
 // sized keeps the largest size of each class up to date.
@@ -66,12 +78,12 @@
 	g.note(late)
 }
 
-// lift names the classes whose largest jobs are to be lifted, with their size.
-func (l *Leader) lift() map[string]int {
-	out := make(map[string]int)
+// lifted names the classes whose largest jobs are to be lifted.
+func (l *Leader) lifted() map[string]placement.Largest {
+	out := make(map[string]placement.Largest)
 	for class, g := range l.largest {
-		if g.needsLift() {
-			out[class] = g.size
+		if lift := g.lift(); lift != placement.NoLift {
+			out[class] = placement.Largest{Size: g.size, Lift: lift}
 		}
 	}
 	return out
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -16,6 +16,7 @@
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/ledger"
 	"thornnotch/internal/market"
+	"thornnotch/internal/placement"
 	"thornnotch/internal/seeded"
 	"thornnotch/internal/term"
 	"thornnotch/internal/tuning"
@@ -374,19 +375,23 @@
 	}
 	add(8, 20*time.Second)
 	add(2, 0) // a small one that is late does not count
-	if len(l.lift()) != 0 {
-		t.Fatalf("lifted although all is well: %v", l.lift())
+	if len(l.lifted()) != 0 {
+		t.Fatalf("lifted although all is well: %v", l.lifted())
 	}
-	for range 3 {
-		add(8, 0)
+	add(8, 30*time.Second)
+	add(8, 0)
+	if got := l.lifted()["x"]; got != (placement.Largest{Size: 8, Lift: placement.LiftEqual}) {
+		t.Fatalf("late ones are not lifted: %+v, %+v", got, l.largest["x"])
 	}
-	if l.lift()["x"] != 8 {
-		t.Fatalf("late ones are not lifted: %+v", l.largest["x"])
+	add(8, 0)
+	add(8, 0)
+	if got := l.lifted()["x"].Lift; got != placement.LiftAll {
+		t.Fatalf("not lifted over all though most are late: %v, %+v", got, l.largest["x"])
 	}
 	for range 12 {
 		add(8, 30*time.Second)
 	}
-	if len(l.lift()) != 0 {
+	if len(l.lifted()) != 0 {
 		t.Errorf("lifted for ever: %+v", l.largest["x"])
 	}
 }
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -172,7 +172,7 @@
 			Guarantee: placement.Room{VCPUs: t.CPUs, GPUs: t.GPUs}, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
 	placement.MarkGuaranteed(all, w.Teams)
-	placement.MarkOverdue(all, l.lift(), now)
+	placement.MarkOverdue(all, l.lifted(), now)
 	for _, v := range all {
 		if len(v.Waiting) > 0 {
 			w.Jobs = append(w.Jobs, v)
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -198,10 +198,13 @@
 
 // outranks tells whether a job stands above another whatever the time.
 func outranks(a, b *Job) bool {
-	if a.Overdue != b.Overdue {
-		return a.Overdue
+	if a.Overdue == LiftAll || b.Overdue == LiftAll {
+		return a.Overdue > b.Overdue
 	}
-	return a.Priority > b.Priority || a.Priority == b.Priority && a.Guaranteed && !b.Guaranteed
+	if a.Priority != b.Priority || a.Overdue != b.Overdue {
+		return a.Priority > b.Priority || a.Priority == b.Priority && a.Overdue > b.Overdue
+	}
+	return a.Guaranteed && !b.Guaranteed
 }
 
 // keepClaims renews the claims of gangs that still wait. A machine that drains
@@ -568,7 +571,7 @@
 	best := make(map[string][]option) // the n cheapest, by zone if it matters
 	var zones []string
 	for _, r := range p.Rigs {
-		if !p.usable(j, r) || r.claimed != nil && r.claimed != j && !j.Overdue || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
+		if !p.usable(j, r) || r.claimed != nil && r.claimed != j && j.Overdue == NoLift || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
 			continue
 		}
 		o, ok := p.option(j, r, need, n, mayStop)
@@ -673,7 +676,7 @@
 	o.cost = 1e6 + r.left.Seconds() + r.delay(j)
 	if j.Claims[r.Name] {
 		o.cost -= tuning.ClaimKept
-		if j.Overdue {
+		if j.Overdue != NoLift {
 			o.cost -= tuning.ClaimKeptOverdue
 		}
 	}
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -339,7 +339,7 @@
 		}
 		jobs = open
 		w.Jobs = append([]*Job(nil), open...)
-		MarkOverdue(open, map[string]int{"gang8": 8}, now)
+		MarkOverdue(open, map[string]Largest{"gang8": {8, LiftAll}}, now)
 		plan := Decide(w)
 		for _, j := range open {
 			j.Claims = nil
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// Lift is how far an overdue job is lifted.
+type Lift int
+
+// Lifts.
+const (
+	NoLift    Lift = iota
+	LiftEqual      // over others of its priority
+	LiftAll        // over all others
+)
+
 // Job is a job with tasks to start.
 type Job struct {
 	Spec       *intake.Job
@@ -162,9 +172,9 @@
 	// start and still meet one aim of its users, in rising order.
 	Targets []time.Duration
 	// Overdue is set for a few of the jobs that have waited longest and are
-	// hard to place: these go first whatever their priority, so that none
-	// waits for ever behind a steady flow of others. It stops nobody's tasks.
-	Overdue bool
+	// hard to place, so that none waits for ever behind a steady flow of
+	// others. It stops nobody's tasks.
+	Overdue Lift
 	// Late is set once no target can be met any more; Slack is the time left
 	// until the next one, or else how far back the job stands among the late.
 	Late  bool
@@ -250,12 +260,14 @@
 // aim, then age.
 func Before(a, b *Job) bool {
 	switch {
+	case (a.Overdue == LiftAll) != (b.Overdue == LiftAll):
+		return a.Overdue == LiftAll
+	case a.Priority != b.Priority && a.Overdue != LiftAll:
+		return a.Priority > b.Priority
 	case a.Overdue != b.Overdue:
-		return a.Overdue
-	case a.Overdue && a.Order != b.Order:
+		return a.Overdue > b.Overdue
+	case a.Overdue != NoLift && a.Order != b.Order:
 		return a.Order < b.Order
-	case a.Priority != b.Priority:
-		return a.Priority > b.Priority
 	case a.Guaranteed != b.Guaranteed:
 		return a.Guaranteed
 	case a.Slack != b.Slack:
@@ -282,22 +294,28 @@
 	}
 }
 
-// MarkOverdue lifts a few gangs over all others: those of the classes and from
-// the sizes that lift names, longest waiting first. The users want most of the
+// Largest names a class's gangs to be lifted, by their least size.
+type Largest struct {
+	Size int
+	Lift Lift
+}
+
+// MarkOverdue lifts a few gangs over others: those of the classes and from the
+// sizes that are named, longest waiting first. The users want most of the
 // largest jobs of a class to begin within some minutes whatever else is queued.
 // Lifting costs the rest dearly, as machines stand empty until the last one of a
 // large gang comes free, so it is done only where it is needed, and to few.
-func MarkOverdue(unfinished []*Job, lift map[string]int, now time.Time) {
+func MarkOverdue(unfinished []*Job, largest map[string]Largest, now time.Time) {
 	var late []*Job
 	for _, j := range unfinished {
-		j.Overdue = false
-		size := lift[j.Spec.Workload]
-		if size > 1 && j.Spec.Pieces >= size && j.Spec.Shape == intake.Gang && len(j.Waiting) > 0 && now.Sub(j.Submitted) > tuning.OverdueAfter {
+		j.Overdue = NoLift
+		g := largest[j.Spec.Workload]
+		if g.Size > 1 && j.Spec.Pieces >= g.Size && j.Spec.Shape == intake.Gang && len(j.Waiting) > 0 && now.Sub(j.Submitted) > tuning.OverdueAfter {
 			late = append(late, j)
 		}
 	}
 	slices.SortFunc(late, func(a, b *Job) int { return cmp.Compare(a.Order, b.Order) })
 	for _, j := range late[:min(len(late), tuning.OverdueMost)] {
-		j.Overdue = true
+		j.Overdue = largest[j.Spec.Workload].Lift
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -235,11 +235,13 @@
 	OverdueMost  = 4
 	// LargestWithin is the wait from which on one of a class's largest jobs
 	// counts as late: somewhat less than the users' four minutes. When more than
-	// LargestLate of them are, they are lifted; the users' bound is a half.
+	// LargestLate of them are, they are lifted over others of their priority,
+	// when more than LargestPressing are, over all; the users' bound is a half.
 	// LargestMemory is what an older one counts, for each that comes after.
-	LargestWithin = 210 * time.Second
-	LargestLate   = 0.35
-	LargestMemory = 0.9
+	LargestWithin   = 210 * time.Second
+	LargestLate     = 0.2
+	LargestPressing = 0.45
+	LargestMemory   = 0.9
 	// RoomTries is how many waiting jobs one pass seeks to make room for.
 	RoomTries = 32
 	// WaitingShown bounds how many waiting tasks of a job one pass looks at.
