--- a/internal/leader/largest.go
+++ b/internal/leader/largest.go
@@ -59,7 +59,9 @@
 		l.largest[spec.Workload] = g
 	}
 	if spec.Pieces > g.size {
-		*g = largest{size: spec.Pieces}
+		// A few are taken to have begun in time, so that one late one does not
+		// decide.
+		*g = largest{size: spec.Pieces, good: tuning.LargestPrior}
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -239,9 +239,11 @@
 	// when more than LargestPressing are, over all; the users' bound is a half.
 	// LargestMemory is what an older one counts, for each that comes after.
 	LargestWithin   = 210 * time.Second
-	LargestLate     = 0.2
-	LargestPressing = 0.45
+	LargestLate     = 0.4
+	LargestPressing = 0.55
 	LargestMemory   = 0.9
+	// LargestPrior is how many are taken to have begun in time at first.
+	LargestPrior = 3.0
 	// RoomTries is how many waiting jobs one pass seeks to make room for.
 	RoomTries = 32
 	// WaitingShown bounds how many waiting tasks of a job one pass looks at.
