A zone that was cut off is waited for until its last machines are back

When 437 of its machines had come back, the zone no longer counted as cut off, and the 226 that were still on their way, each going round all nodes, were returned at once, 94 more at 300 s; the cloud was away then, and 82 of their successors never came up. Ruled out: leases (the tasks were lost anyway), the takeover at 158 s (260 ms). The zone now counts as cut off for 40 s after most of it is back.

--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -72,6 +72,23 @@
 	if n := v.Have[market.Pool{Type: "g4", Zone: "east"}]; n != 0 {
 		t.Errorf("%d silent machines are counted on", n)
 	}
+	// The cut heals: three of the four are back a few seconds before the last.
+	back := now.Add(20 * time.Second)
+	for i := range 3 {
+		l.rigs[fmt.Sprint("m-e", i)].m.Heard = back
+	}
+	l.retireRigs(back.Add(time.Second))
+	if l.rigs["m-e3"].leaving {
+		t.Errorf("the last one is given up as the cut heals")
+	}
+	l.retireRigs(back.Add(tuning.DarkAfter + l.lease + tuning.SilentReturn))
+	if !l.rigs["m-e3"].leaving {
+		t.Errorf("one that does not come back with the others is never given up")
+	}
+	for i := range 4 {
+		r := l.rigs[fmt.Sprint("m-e", i)]
+		r.m.Heard, r.leaving = t0, false
+	}
 	l.retireRigs(t0.Add(l.lease + tuning.DarkReturn + time.Second))
 	if !l.rigs["m-e0"].leaving {
 		t.Errorf("a zone that stays dark is never given up")
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -21,7 +21,9 @@
 	// booting are machines rented that have not reported yet.
 	booting map[string]booting
 	refused map[market.Pool]time.Time
-	waiting []*placement.Job
+	// darkUntil is until when a zone counts as cut off.
+	darkUntil map[string]time.Time
+	waiting   []*placement.Job
 	// returned are machines given back, which lists may still show.
 	returned map[string]time.Time
 	memory   *market.Memory
@@ -49,6 +51,7 @@
 func (m *marketState) init() {
 	m.booting = make(map[string]booting)
 	m.refused = make(map[market.Pool]time.Time)
+	m.darkUntil = make(map[string]time.Time)
 	m.returned = make(map[string]time.Time)
 	m.memory = market.NewMemory(tuning.KeepWindow)
 }
@@ -110,7 +113,8 @@
 	return now.Sub(r.m.Heard)
 }
 
-// darkZones are the zones most of whose machines have fallen silent. Machines
+// darkZones are the zones most of whose machines are silent, or were a short
+// while ago. Machines
 // die one by one; a zone that goes dark is cut off, and comes back with all its
 // machines and their images. Giving them all up for others that must boot and
 // fetch anew, in a zone that can't be reached, is the worst answer to a cut.
@@ -127,7 +131,14 @@
 	}
 	dark := make(map[string]bool)
 	for z, n := range silent {
-		dark[z] = n >= tuning.DarkLeast && 2*n > all[z]
+		if n >= tuning.DarkLeast && 2*n > all[z] {
+			l.market.darkUntil[z] = now.Add(tuning.DarkAfter)
+		}
+	}
+	// When the cut heals, machines come back one after the other. Those that
+	// come last must not be given up because most are there already.
+	for z, until := range l.market.darkUntil {
+		dark[z] = now.Before(until)
 	}
 	return dark
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -283,6 +283,10 @@
 	// not the end of its machines; DarkLeast is how many that takes.
 	DarkReturn = 90 * time.Second
 	DarkLeast  = 3
+	// DarkAfter is how long a zone still counts as cut off once most of its
+	// machines are back: a worker that finds no answer goes round all nodes, a
+	// few seconds at each.
+	DarkAfter = 40 * time.Second
 	// BootPatience times the catalog's boot time is how long a machine may
 	// take to report before it is returned.
 	BootPatience = 3.0
