--- /dev/null
+++ b/internal/placement/gang.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+func (p *pass) gang(j *Job) {
+	if rigs := p.gangRigs(j); rigs != nil {
+		for i, r := range rigs {
+			p.put(j, j.Waiting[i], r)
+		}
+		return
+	}
+	p.plan.Unmet = append(p.plan.Unmet, j)
+	if !p.gangWithinLimit(j) {
+		return
+	}
+	p.makeRoom(j, len(j.Waiting))
+}
+
+func (p *pass) gangWithinLimit(j *Job) bool {
+	t := p.Teams[j.Spec.Owner]
+	extra := Need(j.Spec).Times(len(j.Waiting))
+	// Its pipeline's own holds give way to the gang.
+	for i, room := range p.held[j.Pipeline()] {
+		if i == len(j.Waiting) {
+			break
+		}
+		extra = extra.Sub(room)
+	}
+	return t.Allows(extra)
+}
+
+// gangRigs finds machines for all waiting tasks, or none.
+func (p *pass) gangRigs(j *Job) []*Rig {
+	if !p.gangWithinLimit(j) {
+		return nil
+	}
+	need := Need(j.Spec)
+	type seat struct {
+		rig   *Rig
+		score float64
+	}
+	byZone := make(map[string][]seat)
+	var zones []string
+	var all []seat
+	for _, r := range p.roomy {
+		if !p.usable(j, r) {
+			continue
+		}
+		n := r.free(j).Count(need, min(len(j.Waiting), r.Seats))
+		if n == 0 {
+			continue
+		}
+		s := seat{r, p.score(r, j)}
+		for range n {
+			if byZone[r.Zone] == nil {
+				zones = append(zones, r.Zone)
+			}
+			byZone[r.Zone] = append(byZone[r.Zone], s)
+			all = append(all, s)
+		}
+	}
+	// A gang moves when its last image is there, so a choice of machines is
+	// as good as its worst.
+	pick := func(seats []seat, cap int) ([]*Rig, float64) {
+		slices.SortStableFunc(seats, func(a, b seat) int { return cmp.Compare(a.score, b.score) })
+		// Tasks that already have their place count too: a gang that lost one
+		// while it waited gets a replacement.
+		per := make(map[string]int)
+		for z, n := range j.Zones {
+			per[z] = n
+		}
+		var out []*Rig
+		worst := 0.0
+		for _, s := range seats {
+			if len(out) == len(j.Waiting) {
+				break
+			}
+			if per[s.rig.Zone] >= cap {
+				continue
+			}
+			per[s.rig.Zone]++
+			out = append(out, s.rig)
+			worst = s.score
+		}
+		if len(out) < len(j.Waiting) {
+			return nil, 0
+		}
+		return out, worst
+	}
+	if !j.Spec.SamePlace {
+		rigs, _ := pick(all, ZoneCap(j.Spec))
+		return rigs
+	}
+	if j.Spec.Pieces > ZoneCap(j.Spec) {
+		return nil
+	}
+	var best []*Rig
+	bestScore := 0.0
+	for _, z := range zones {
+		if !zoneAllows(j, z) {
+			continue
+		}
+		if rigs, s := pick(byZone[z], j.Spec.Pieces); rigs != nil && (best == nil || s < bestScore) {
+			best, bestScore = rigs, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/placement/room.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"thornnotch/internal/tuning"
+)
+
+// mayEvict tells whether the job may stop a task. The protocol allows it for
+// higher priority and, to give a team its guarantee, against whatever another
+// team runs beyond its own. Taken together these two can go in a circle: an
+// urgent job beyond its guarantee and a standard one within, stopping each
+// other for ever. So stopping follows the queue's own order, priority first
+// and guarantee second: what is stopped also stands behind in the queue and
+// can't take the room back.
+func (p *pass) mayEvict(j *Job, s Slot) bool {
+	if s.Ending || s.Job == nil {
+		return false
+	}
+	v := s.Job
+	if v.Priority != j.Priority {
+		return v.Priority < j.Priority
+	}
+	return j.Guaranteed && !v.Guaranteed && v.Spec.Owner != j.Spec.Owner && p.beyond(v.Spec.Owner)
+}
+
+// beyond tells whether a team uses more than its guarantee.
+func (p *pass) beyond(owner string) bool {
+	t := p.Teams[owner]
+	return t != nil && !t.Guards(t.Used.Sub(p.ending[owner]))
+}
+
+// mayStop tells whether anything runs that the job may stop.
+func (p *pass) mayStop(j *Job) bool {
+	for v, n := range p.able {
+		if n > 0 && (v.priority < j.Priority ||
+			v.priority == j.Priority && j.Guaranteed && !v.guaranteed && v.owner != j.Spec.Owner && p.beyond(v.owner)) {
+			return true
+		}
+	}
+	return false
+}
+
+// option is a machine whose room could be made or kept for a job.
+type option struct {
+	rig    *Rig
+	victim []Slot
+	cost   float64
+	coming int // tasks that fit once what ends has ended
+}
+
+// makeRoom is called for a job that has n tasks without a place. It keeps
+// machines whose room is about to come free from jobs after this one, and
+// stops others' tasks where the rules allow it. Only the first jobs in the
+// queue get this: what they leave is little, and looking costs time.
+func (p *pass) makeRoom(j *Job, n int) {
+	need := Need(j.Spec)
+	gang := j.Spec.Shape == "gang"
+	mayStop := p.mayStop(j)
+	if !p.Teams[j.Spec.Owner].Allows(need) || !gang && !mayStop {
+		return
+	}
+	if p.tries++; p.tries > tuning.RoomTries {
+		return
+	}
+	oneZone := gang && j.Spec.SamePlace && n > 1
+	best := make(map[string][]option) // the n cheapest, by zone if it matters
+	var zones []string
+	for _, r := range p.Rigs {
+		if !p.usable(j, r) || r.claimed != nil && r.claimed != j && j.Overdue == NoLift || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
+			continue
+		}
+		o, ok := p.option(j, r, need, n, mayStop)
+		if !ok || o.coming == 0 && !gang {
+			// A task of a sweep takes any room that comes free; only whole
+			// machines for gangs need keeping.
+			continue
+		}
+		zone := ""
+		if oneZone {
+			zone = r.Zone
+		}
+		list := best[zone]
+		if list == nil {
+			zones = append(zones, zone)
+		}
+		at, _ := slices.BinarySearchFunc(list, o, func(a, b option) int {
+			if a.cost > b.cost {
+				return 1
+			}
+			return -1 // equal ones keep the machines' order
+		})
+		if at < n {
+			list = slices.Insert(list, at, o)
+			best[zone] = list[:min(len(list), n)]
+		}
+	}
+	chosen, least := "", 0.0
+	for _, z := range zones {
+		sum, room := 0.0, 0
+		for _, o := range best[z] {
+			if room >= n {
+				break
+			}
+			sum += o.cost
+			room += max(1, o.coming)
+		}
+		// Room is only of use in one zone: the cheapest that has enough.
+		if oneZone && room < n {
+			continue
+		}
+		if chosen == "" && least == 0 || sum < least {
+			chosen, least = z, sum
+		}
+	}
+	if gang {
+		// Machines that the job no longer waits for are free for others.
+		for _, r := range p.claims[j] {
+			r.claimed = nil
+		}
+	}
+	for _, o := range best[chosen] {
+		if n <= 0 {
+			break
+		}
+		p.prepare(j, o, gang)
+		n -= max(1, o.coming)
+	}
+}
+
+// option weighs one machine for a job that needs room.
+func (p *pass) option(j *Job, r *Rig, need Room, n int, mayStop bool) (option, bool) {
+	f := r.free(j).Add(r.ending)
+	o := option{rig: r, coming: f.Count(need, n)}
+	if o.coming > 0 {
+		o.cost = r.delay(j)
+		return o, true
+	}
+	if mayStop && r.stoppable && (r.lowest < j.Priority || j.Guaranteed) {
+		var able []Slot
+		for _, s := range r.Slots {
+			if p.mayEvict(j, s) {
+				able = append(able, s)
+			}
+		}
+		slices.SortStableFunc(able, func(a, b Slot) int {
+			if a.Job.Priority != b.Job.Priority {
+				return cmp.Compare(a.Job.Priority, b.Job.Priority)
+			}
+			return cmp.Compare(a.Loss, b.Loss)
+		})
+		g := f
+		var cost time.Duration
+		for _, s := range able {
+			if g.Fits(need) {
+				break
+			}
+			g = g.Add(s.Room)
+			cost += time.Duration(float64(s.Loss) * max(s.Room.GPUs, 1))
+			o.victim = append(o.victim, s)
+		}
+		if g.Fits(need) {
+			o.cost = cost.Seconds() + r.delay(j)*max(need.GPUs, 1)
+			o.coming = g.Count(need, n)
+			return o, true
+		}
+		o.victim = nil
+	}
+	if j.Spec.Shape != "gang" {
+		return o, false
+	}
+	o.cost = 1e6 + r.left.Seconds() + r.delay(j)
+	if j.Claims[r.Name] {
+		o.cost -= tuning.ClaimKept
+		if j.Overdue != NoLift {
+			o.cost -= tuning.ClaimKeptOverdue
+		}
+	}
+	return o, true
+}
+
+// prepare keeps a machine for a job and stops what must go.
+func (p *pass) prepare(j *Job, o option, gang bool) {
+	for _, s := range o.victim {
+		p.plan.Evicts = append(p.plan.Evicts, Evict{o.rig, s, j})
+		for i := range o.rig.Slots {
+			if o.rig.Slots[i].Try == s.Try && o.rig.Slots[i].Index == s.Index && o.rig.Slots[i].Job == s.Job {
+				o.rig.Slots[i].Ending = true
+			}
+		}
+		o.rig.ending = o.rig.ending.Add(s.Room)
+		p.able[standing{s.Job.Priority, s.Job.Guaranteed, s.Job.Spec.Owner}]--
+		// It counts toward the team's limit until it is proven gone; only
+		// what the team runs beyond its guarantee shrinks already.
+		p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
+	}
+	if gang || len(o.victim) > 0 {
+		o.rig.claimed = j
+		p.plan.Claims = append(p.plan.Claims, Claim{j, o.rig})
+	}
+}
