A worker that keeps its session evidently hears our answers

Where only the way from the leader to the worker's own address is blocked, the direct question is never answered; such a machine would have stood idle for good.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -72,7 +72,8 @@
 	// Doubt is set when a session has ended although the worker goes on
 	// reporting: it may hear again, or never have heard our answers. It gets
 	// no work until something we sent has evidently arrived.
-	Doubt bool
+	Doubt   bool
+	DoubtAt time.Time
 	// Ignored counts the reports in a row that show a stop not carried out.
 	Ignored int
 	// Warrant is the highest token that the worker has reported.
@@ -129,7 +130,11 @@
 		return nil, false
 	}
 	if r.Shift > m.Shift {
-		m.Doubt = m.Doubt || m.Known && m.Shift > 0
+		if m.Known && m.Shift > 0 {
+			// Nothing of it can be left from before, so even one that was deaf
+			// may be answered again: if it keeps this session, it hears.
+			m.Doubt, m.Deaf, m.DoubtAt = true, false, now
+		}
 		events = append(events, m.endSession(r.Shift-1)...)
 		m.Shift = r.Shift
 		m.ReportTick = 0
@@ -210,6 +215,14 @@
 // heard notes that something we sent has arrived.
 func (m *Machine) heard() { m.Deaf, m.Doubt, m.Ignored = false, false, 0 }
 
+// KeptSession ends the doubt about a worker that has kept its session for
+// longer than it could have without our answers.
+func (m *Machine) KeptSession(lease time.Duration, now time.Time) {
+	if m.Doubt && now.Sub(m.DoubtAt) > lease+lease/2 {
+		m.Doubt = false
+	}
+}
+
 // listen looks for signs that orders do not reach the worker: starts that two
 // later reports do not list, or stops that several do not heed. Starts that
 // never arrived are withdrawn; the report that shows it proves them gone.
--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -332,6 +332,13 @@
 		if want := i < 2; m.Doubt != want {
 			t.Errorf("sign %d: doubt %v, want %v", i, m.Doubt, want)
 		}
+		m.KeptSession(simLease, now.Add(simLease))
+		if want := i < 2; m.Doubt != want {
+			t.Errorf("a session of one lease is taken for a sign")
+		}
+		if m.KeptSession(simLease, now.Add(2*simLease)); m.Doubt {
+			t.Errorf("a session kept for two leases is no sign")
+		}
 	}
 }
 
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -317,6 +317,7 @@
 		l.d.Log.Info("machine does not hear", "rig", r.m.Name, "deaf", r.m.Deaf)
 		l.dirty = true
 	}
+	r.m.KeptSession(l.lease, now)
 	if r.m.Doubt != doubt {
 		if r.m.Doubt {
 			r.called = time.Time{} // ask it at once
