--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -14,11 +14,6 @@
 	}
 	p.plan.Unmet = append(p.plan.Unmet, j)
 	if !p.gangWithinLimit(j) {
-		// Its team is at its limit. If jobs behind this one took each bit of it
-		// that comes free, the gang would wait until they all are done.
-		if t := p.Teams[j.Spec.Owner]; t.Kept == (Room{}) {
-			t.Kept = Need(j.Spec).Times(len(j.Waiting))
-		}
 		return
 	}
 	p.makeRoom(j, len(j.Waiting))
