Users leave sockets to workers; the least transactions still end jobs

When connections run short, users' are closed after each answer, and a worker that is sent to the leader has its connection closed, so that neither uses up the other's. With the smallest txn_ops that the settings allow (4), a job's end did not fit beside head and entry and was never written: found by the test of the largest job with that value. The settings' checks are tried with five nodes.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -94,3 +94,29 @@
 		}
 	}
 }
+
+// TestLargeSite: five nodes, thousands of GPUs, small values and large
+// transactions are as good as the small site.
+func TestLargeSite(t *testing.T) {
+	text := strings.Replace(goodSettings, "[services]", `[[known]]
+label = "rig-2"
+addr = "10.0.0.3:8081"
+[[known]]
+label = "rig-3"
+addr = "10.0.0.4:8081"
+[[known]]
+label = "rig-4"
+addr = "10.0.0.5:8081"
+[services]`, 1)
+	for from, to := range map[string]string{"count = 2": "count = 5", "gpus = 4.0": "gpus = 2000.0", "gpus_max = 8.0": "gpus_max = 7000.0",
+		"value_kb = 16.0": "value_kb = 8.0", "txn_ops = 12": "txn_ops = 32"} {
+		text = strings.Replace(text, from, to, 1)
+	}
+	s, err := Parse(text)
+	if err != nil || len(s.Known) != 4 || s.Params.Count != 5 || s.Params.Teams[0].GPUsMax != 7000 {
+		t.Fatalf("%+v: %v", s, err)
+	}
+	if _, err := Parse(strings.Replace(text, `"rig-4"`, `"rig-3"`, 1)); err == nil || !strings.Contains(err.Error(), "known[3].label") {
+		t.Errorf("a node named twice: %v", err)
+	}
+}
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -106,7 +106,8 @@
 		return c.log.Next(nil)
 	}
 	var extras []wal.Extra
-	room := l.d.Settings.Params.State.TxnOps - 3
+	// The head and at least one log value go along.
+	room := max(l.d.Settings.Params.State.TxnOps-3, 2)
 	kept := c.final[:0:0]
 	for _, j := range c.final {
 		switch {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -327,7 +327,7 @@
 func TestLargeJobFitsItsLimits(t *testing.T) {
 	now := time.Now()
 	l := testLeader(t)
-	l.d.Settings.Params.State.ValueKB, l.d.Settings.Params.State.TxnOps = 8, 5
+	l.d.Settings.Params.State.ValueKB, l.d.Settings.Params.State.TxnOps = 8, 4
 	l.openLog(wal.Head{}, 0)
 	for i := range 3 {
 		addRig(l, fmt.Sprint("m-", i), "east", now)
@@ -343,7 +343,7 @@
 	l.pass(now)
 	check := func() (n int) {
 		for txn := l.next(); txn != nil; txn = l.next() {
-			if len(txn.Writes) > 5 {
+			if len(txn.Writes) > 4 {
 				t.Fatalf("%d changes in one transaction", len(txn.Writes))
 			}
 			n += len(txn.Writes) - 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 	helpers atomic.Pointer[[]string]
 	lonely  atomic.Bool
 	users   http.Handler
+	sockets sockets
 }
 
 // New makes a node from its settings.
@@ -125,7 +126,8 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	if lim := n.set.Params.Limits.Sockets; lim > 0 {
-		listen = netutil.LimitListener(listen, max(16, int(float64(lim)*tuning.SocketShare)))
+		n.sockets.limit = max(16, int(float64(lim)*tuning.SocketShare))
+		listen = netutil.LimitListener(listen, n.sockets.limit)
 	}
 	meshListen, err := n.net.Listen("tcp", n.set.MeshAddr)
 	if err != nil {
@@ -134,7 +136,8 @@
 	srv := &http.Server{
 		Handler: mux, ReadHeaderTimeout: tuning.HeaderTimeout, ReadTimeout: tuning.BodyTimeout,
 		IdleTimeout: tuning.IdleTimeout, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		ConnState: n.sockets.follow,
 	}
 	n.log.Info("serving", "label", n.set.Label, "site", n.set.Site, "listen", n.set.Listen)
 	group, ctx := errgroup.WithContext(ctx)
@@ -240,6 +243,8 @@
 	if label, _ := n.elector.Leader(); label != "" && label != n.set.Label {
 		body["foreman"] = label
 	}
+	// A worker that is sent on has no use for this connection.
+	w.Header().Set("Connection", "close")
 	intake.WriteJSON(w, http.StatusMisdirectedRequest, body)
 }
 
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -68,6 +68,9 @@
 
 // serveUser serves a user's request, here or where it can be.
 func (n *Node) serveUser(w http.ResponseWriter, r *http.Request) {
+	if n.sockets.scarce() {
+		w.Header().Set("Connection", "close")
+	}
 	helpers := n.helpers.Load()
 	if helpers == nil || len(*helpers) == 0 || !strings.HasPrefix(r.URL.Path, "/work") {
 		n.users.ServeHTTP(w, r)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -360,6 +360,9 @@
 	// SocketShare is the part of the machine's sockets open to users and
 	// workers; the rest is for our own calls.
 	SocketShare = 0.75
+	// SocketsScarce is the part of these beyond which users' connections are
+	// closed after each answer, so that workers find room.
+	SocketsScarce = 0.85
 	// MemoryShare is the part of the machine's memory that the Go runtime is
 	// told to stay within; threads and the binary need the rest.
 	MemoryShare = 0.7
