--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -119,6 +119,9 @@
 	able map[standing]int
 	// tries counts the jobs that room was sought for.
 	tries int
+	// draining counts the machines that are kept for gangs until what runs on
+	// them ends.
+	draining int
 	// claims are the machines kept from the last pass.
 	claims map[*Job][]*Rig
 	cands  candidates
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -121,6 +121,18 @@
 			r.claimed = nil
 		}
 	}
+	idle := 0
+	for _, o := range best[chosen] {
+		if o.coming == 0 {
+			idle++
+		}
+	}
+	if idle > 0 && p.draining > 0 && float64(p.draining+idle) > tuning.ClaimMost*float64(len(p.Rigs)) {
+		// Enough machines drain for gangs already. What comes free goes to
+		// other work meanwhile: where much waits, all would stand half empty.
+		return
+	}
+	p.draining += idle
 	for _, o := range best[chosen] {
 		if n <= 0 {
 			break
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -217,6 +217,9 @@
 	// ClaimKept is how much longer a waiting gang stays with the machine that
 	// it already waits for than another would have to be quicker.
 	ClaimKept = 20.0
+	// ClaimMost is the largest part of all machines that drains for gangs at a
+	// time: each stands half empty meanwhile. The first gang always gets its own.
+	ClaimMost = 0.04
 	// ClaimKeptOverdue is the same on top for one that is overdue: it must
 	// come to an end with the zone it has begun to gather in.
 	ClaimKeptOverdue = 300.0
