--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -376,3 +376,128 @@
 		}
 	}
 }
+
+// TestNoClassOrTeamStarves: with somewhat more work than room, of two classes
+// and three teams, at least half of each class's and each team's jobs begin
+// within four minutes, although one team sends most of the work and small tasks
+// would fill every machine. It guards against what an overloaded deployment
+// showed: claims of all waiting gangs left the machines half empty.
+func TestNoClassOrTeamStarves(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	type running struct {
+		job *Job
+		rig int
+		end time.Time
+	}
+	start := time.Unix(10000, 0)
+	var tasks []running
+	var jobs, all []*Job
+	began := map[*Job]time.Duration{}
+	submit := func(owner, shape string, pieces int, gpus float64, now time.Time) {
+		s := &intake.Job{NameID: fmt.Sprint("j-", len(all)), Workload: shape, Owner: owner, Shape: shape, Urgency: "standard", Pieces: pieces,
+			Accelerators: gpus, VCPUs: 1, RAMGB: 1, SamePlace: shape == "gang", Loaners: shape != "gang", Bundle: "img"}
+		j := &Job{Spec: s, Priority: intake.Priority("standard"), Order: uint64(len(all) + 1), Submitted: now,
+			Targets: []time.Duration{30 * time.Second, 90 * time.Second}}
+		for i := range pieces {
+			j.Waiting = append(j.Waiting, i)
+		}
+		jobs, all = append(jobs, j), append(all, j)
+	}
+	for now := start; now.Before(start.Add(15 * time.Minute)); now = now.Add(time.Second) {
+		if now.Before(start.Add(10 * time.Minute)) {
+			// About 1.3 times what 24 machines of 4 GPUs can run.
+			for _, c := range []struct {
+				owner  string
+				chance float64
+			}{{"a", 0.12}, {"b", 0.03}, {"c", 0.03}} {
+				if rnd.Float64() < c.chance*1.15 {
+					submit(c.owner, "sweep", 8, 1, now)
+				}
+				if rnd.Float64() < c.chance*1.15/4 {
+					submit(c.owner, "gang", 2, 4, now)
+				}
+			}
+		}
+		kept := tasks[:0]
+		used := map[string]float64{}
+		for _, x := range tasks {
+			if x.end.After(now) {
+				kept = append(kept, x)
+				used[x.job.Spec.Owner] += x.job.Spec.Accelerators
+			}
+		}
+		tasks = kept
+		w := &World{Now: now, Teams: map[string]*Team{}}
+		for _, n := range []string{"a", "b", "c"} {
+			w.Teams[n] = &Team{Name: n, Guarantee: Room{GPUs: 16}, Max: Room{GPUs: 96}, Used: Room{GPUs: used[n]}}
+		}
+		for i := range 24 {
+			r := &Rig{Name: fmt.Sprintf("m-%02d", i), Type: "g4", Zone: []string{"x", "y"}[i%2], Open: true, Seats: 50,
+				Total: Room{VCPUs: 32, GPUs: 4, RAM: 256}, Cached: map[string]time.Duration{"img": 0}}
+			for _, x := range tasks {
+				if x.rig == i {
+					r.Slots = append(r.Slots, Slot{Job: x.job, Room: Need(x.job.Spec), Left: x.end.Sub(now), Loss: time.Minute})
+				}
+			}
+			w.Rigs = append(w.Rigs, r)
+		}
+		var open []*Job
+		for _, j := range jobs {
+			if len(j.Waiting) > 0 {
+				j.Weigh(now, map[string]float64{"sweep": 1, "gang": 0.25}[j.Spec.Shape])
+				open = append(open, j)
+			}
+		}
+		jobs = open
+		w.Jobs = append([]*Job(nil), open...)
+		MarkGuaranteed(append([]*Job(nil), open...), w.Teams)
+		plan := Decide(w)
+		for _, j := range open {
+			j.Claims = nil
+		}
+		for _, c := range plan.Claims {
+			if c.Job.Claims == nil {
+				c.Job.Claims = map[string]bool{}
+			}
+			c.Job.Claims[c.Rig.Name] = true
+		}
+		// A stopped task is gone at once here, and waits again.
+		for _, e := range plan.Evicts {
+			for i, x := range tasks {
+				if x.job == e.Slot.Job && fmt.Sprintf("m-%02d", x.rig) == e.Rig.Name {
+					tasks[i].end = now
+					x.job.Waiting = append(x.job.Waiting, 0)
+					break
+				}
+			}
+		}
+		for _, s := range plan.Starts {
+			at, _ := strconv.Atoi(s.Rig.Name[2:])
+			tasks = append(tasks, running{s.Job, at, now.Add(time.Duration(30+rnd.IntN(60)) * time.Second)})
+			left := s.Job.Waiting[:0:0]
+			for _, i := range s.Job.Waiting {
+				if i != s.Index {
+					left = append(left, i)
+				}
+			}
+			s.Job.Waiting = left
+			if _, ok := began[s.Job]; !ok {
+				began[s.Job] = now.Sub(s.Job.Submitted)
+			}
+		}
+	}
+	total, served := map[string]int{}, map[string]int{}
+	for _, j := range all {
+		for _, group := range []string{"class " + j.Spec.Workload, "team " + j.Spec.Owner} {
+			total[group]++
+			if after, ok := began[j]; ok && after <= 4*time.Minute {
+				served[group]++
+			}
+		}
+	}
+	for group, n := range total {
+		if n < 3 || 2*served[group] < n {
+			t.Errorf("%s: %d of %d begun in time", group, served[group], n)
+		}
+	}
+}
