--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -54,7 +54,9 @@
 	Workers  Workers
 	// Catalog gives the newest catalog, or nil while none is known.
 	Catalog func() *market.Catalog
-	Log     *slog.Logger
+	// Drawn tells what this node's calls of a class have drawn; may be nil.
+	Drawn func(ledger.Class) ledger.Drawn
+	Log   *slog.Logger
 }
 
 // errDeposed ends a term: another node leads.
@@ -92,6 +94,7 @@
 	counts      counts
 	counted     counts // as they were logged last
 	lastLoad    time.Time
+	drawn       map[ledger.Class]ledger.Drawn // as it was logged last
 	teams       []config.Team
 	book        *reserve.Book
 	tries       uint64
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sort"
 	"time"
 
 	"thornnotch/internal/fleet"
+	"thornnotch/internal/ledger"
 	"thornnotch/internal/placement"
 	"thornnotch/internal/tuning"
 )
@@ -213,5 +215,20 @@
 			"pass_part", part(c.PassS, was.PassS), "commits_s", per(c.Commits, was.Commits), "commit_part", part(c.CommitS, was.CommitS),
 			"busy_part", part(c.BusyS, was.BusyS), "queue", len(l.calls), "log", l.committer.log.Backlog())
 	}
+	if l.d.Drawn != nil {
+		drawn := make(map[ledger.Class]ledger.Drawn)
+		var attrs []any
+		for _, class := range ledger.Classes {
+			d := l.d.Drawn(class)
+			drawn[class] = d
+			was := l.drawn[class]
+			attrs = append(attrs, class.String(), fmt.Sprintf("%.1f requests, %.1f changes, %.2f waiting",
+				per(d.Requests, was.Requests), per(d.Writes, was.Writes), part(d.WaitS, was.WaitS)))
+		}
+		if !l.lastLoad.IsZero() {
+			l.d.Log.Debug("state service, each second", attrs...)
+		}
+		l.drawn = drawn
+	}
 	l.lastLoad, l.counted = now, c
 }
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -41,12 +41,47 @@
 	}
 }
 
+// Classes lists all classes, most important first.
+var Classes = [...]Class{Lease, Cancel, Submit, Record, Poll, Hold}
+
+// String names the class, as in metrics.
+func (c Class) String() string {
+	switch c {
+	case Lease:
+		return "lease"
+	case Cancel:
+		return "cancel"
+	case Submit:
+		return "submit"
+	case Record:
+		return "record"
+	case Poll:
+		return "poll"
+	default:
+		return "other"
+	}
+}
+
+// Drawn is what the calls of one class have drawn so far.
+type Drawn struct {
+	Requests, Writes uint64
+	WaitS            float64 // time that they waited for tokens
+}
+
 // Budget hands out tokens for requests and for changes. A call may draw only
 // while the bucket keeps the reserve of its class for more important calls.
 type Budget struct {
 	mu       sync.Mutex
 	requests *rate.Limiter
 	writes   *rate.Limiter
+	drawn    [len(Classes)]Drawn
+}
+
+// Drawn tells what the calls of a class have drawn so far.
+func (b *Budget) Drawn(c Class) Drawn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.drawn[c]
 }
 
 // NewBudget makes a budget of the given rates per second.
@@ -69,10 +104,21 @@
 
 // Take draws one request and n changes, waiting for them as long as ctx lasts.
 func (b *Budget) Take(ctx context.Context, c Class, n int) error {
+	var began time.Time
+	defer func() {
+		if !began.IsZero() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.drawn[c].WaitS += time.Since(began).Seconds()
+		}
+	}()
 	for {
 		if b.try(c, n) {
 			return nil
 		}
+		if began.IsZero() {
+			began = time.Now()
+		}
 		t := time.NewTimer(tuning.BudgetPoll)
 		select {
 		case <-ctx.Done():
@@ -96,6 +142,8 @@
 	if c != Lease && (!enough(b.requests, 1) || n > 0 && !enough(b.writes, float64(n))) {
 		return false
 	}
+	b.drawn[c].Requests++
+	b.drawn[c].Writes += uint64(n)
 	b.requests.ReserveN(now, 1)
 	if n > 0 {
 		b.writes.ReserveN(now, min(n, b.writes.Burst()))
--- a/internal/ledger/budget_test.go
+++ b/internal/ledger/budget_test.go
@@ -56,3 +56,22 @@
 		}
 	})
 }
+
+// TestDrawnByClass: what is drawn and waited for is counted by class.
+func TestDrawnByClass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(10, 4)
+		for range 2 {
+			if err := b.Take(t.Context(), Record, 3); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := b.Take(t.Context(), Poll, 0); err != nil {
+			t.Fatal(err)
+		}
+		r, p := b.Drawn(Record), b.Drawn(Poll)
+		if r.Requests != 2 || r.Writes != 6 || r.WaitS <= 0 || p.Requests != 1 || p.Writes != 0 || p.WaitS != 0 {
+			t.Errorf("record %+v, poll %+v", r, p)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,7 +170,7 @@
 func (n *Node) lead(ctx context.Context, g term.Grant) error {
 	l := leader.New(leader.Deps{
 		Settings: n.set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(n.net.DialContext),
-		Catalog: n.catalog.Load, Log: n.log,
+		Catalog: n.catalog.Load, Drawn: n.store.Budget.Drawn, Log: n.log,
 	}, g)
 	n.store.Budget.SetShare(n.share(true))
 	n.leading.Store(l)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -10,6 +10,7 @@
 
 	"thornnotch/internal/intake"
 	"thornnotch/internal/leader"
+	"thornnotch/internal/ledger"
 	"thornnotch/internal/tuning"
 )
 
@@ -113,6 +114,19 @@
 	put(desc("state_request_tokens", "Requests to the state service that may be made at once."), own.RequestTokens)
 	put(desc("state_write_tokens", "Changes in the state service that may be made at once."), own.WriteTokens)
 	put(desc("cloud_tokens", "Calls to the cloud that may be made at once."), own.CloudTokens)
+	count := func(name, help string, v float64, labels ...string) {
+		var names []string
+		if len(labels) > 0 {
+			names = []string{"class"}
+		}
+		ch <- prometheus.MustNewConstMetric(desc(name, help, names...), prometheus.CounterValue, v, labels...)
+	}
+	for _, class := range ledger.Classes {
+		d := c.n.store.Budget.Drawn(class)
+		count("state_requests_total", "Requests to the state service.", float64(d.Requests), class.String())
+		count("state_writes_total", "Changes asked of the state service.", float64(d.Writes), class.String())
+		count("state_wait_seconds_total", "Time that calls waited for tokens.", d.WaitS, class.String())
+	}
 	l := c.n.leading.Load()
 	if l == nil {
 		return
@@ -123,9 +137,6 @@
 	if !ok {
 		return
 	}
-	count := func(name, help string, v float64) {
-		ch <- prometheus.MustNewConstMetric(desc(name, help), prometheus.CounterValue, v)
-	}
 	w := st.Work
 	count("reports_total", "Reports of workers in this term.", float64(w.Reports))
 	count("late_copies_total", "Late copies of reports in this term.", float64(w.Copies))
