--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -30,6 +30,10 @@
 	// Sent tells that a `run` went out, last in the answer to report SentTick.
 	Sent     bool
 	SentTick uint64
+	// SentAt is when the first `run` went out; Unheard counts the later
+	// reports that did not list the task.
+	SentAt  time.Time
+	Unheard int
 	// Status is what the worker said last; empty until it is first seen.
 	Status string
 	Cause  string
@@ -58,6 +62,15 @@
 	Spot                       bool
 
 	Shift, Tick uint64
+	// ReportTick is the newest report's own number: a message with a number
+	// up to it that comes as a report is a late copy.
+	ReportTick uint64
+	// Deaf is set while the worker's reports arrive but our answers evidently
+	// do not reach it. It gets neither work nor a 200 until it shows that it
+	// hears again.
+	Deaf bool
+	// Ignored counts the reports in a row that show a stop not carried out.
+	Ignored int
 	// Warrant is the highest token that the worker has reported.
 	Warrant uint64
 	// Known is set once a report has arrived in this term.
@@ -114,11 +127,20 @@
 	if r.Shift > m.Shift {
 		events = append(events, m.endSession(r.Shift-1)...)
 		m.Shift = r.Shift
+		m.ReportTick = 0
 	}
 	m.Tick = r.Tick
+	if direct {
+		m.Deaf, m.Ignored = false, 0 // a command has reached it
+	} else {
+		m.ReportTick = r.Tick
+	}
 	m.Known = true
 	m.Heard = now
-	m.Warrant = max(m.Warrant, r.Warrant)
+	if r.Warrant > m.Warrant {
+		m.Warrant = r.Warrant
+		m.Deaf, m.Ignored = m.Deaf && r.Warrant != term, 0
+	}
 	if m.Warrant == term && m.TokenSeen.IsZero() {
 		m.TokenSeen = now
 	}
@@ -164,6 +186,7 @@
 		}
 	}
 	if !direct {
+		m.listen(r, listed, now)
 		for id, a := range m.Attempts {
 			if !listed[id] && m.absenceProves(a, r, term) {
 				events = append(events, m.drop(a)...)
@@ -174,6 +197,65 @@
 	return events, true
 }
 
+// listen looks for signs that orders do not reach the worker: starts that two
+// later reports do not list, or stops that several do not heed. Starts that
+// never arrived are withdrawn; the report that shows it proves them gone.
+func (m *Machine) listen(r *Report, listed map[AttemptID]bool, now time.Time) {
+	ignored := false
+	for id, a := range m.Attempts {
+		switch {
+		case listed[id] && a.Halt && !a.HaltAt.IsZero() && now.Sub(a.HaltAt) > tuning.StopIgnored &&
+			(a.Status == Running || a.Status == Fetching || a.Status == Waiting):
+			ignored = true
+		case !listed[id] && a.Sent && !a.Inherited && a.Status == "" && r.Tick > a.SentTick:
+			a.Unheard++
+			if a.Unheard >= tuning.UnheardReports {
+				m.Deaf = true
+			}
+		}
+	}
+	if ignored {
+		m.Ignored++
+	} else {
+		m.Ignored = 0
+	}
+	if m.Ignored >= tuning.UnheardReports {
+		m.Deaf = true
+	}
+	if !m.Deaf {
+		return
+	}
+	for id, a := range m.Attempts {
+		if !listed[id] && a.Sent && !a.Inherited && a.Status == "" && !a.Halt {
+			a.Halt, a.HaltAt = true, now
+		}
+	}
+}
+
+// Suspect tells whether a start went out so long ago that the worker must have
+// reported it, and has not.
+func (m *Machine) Suspect(now time.Time) bool {
+	for _, a := range m.Attempts {
+		if a.Sent && a.Status == "" && !a.SentAt.IsZero() && now.Sub(a.SentAt) > tuning.OrderPatience {
+			return true
+		}
+	}
+	return false
+}
+
+// Copy tells whether a report is a late copy of one that has been taken in,
+// or of an older session. It renews nothing and is not answered.
+func (m *Machine) Copy(r *Report) bool {
+	return r.Shift < m.Shift || r.Shift <= m.EndedShift || r.Shift == m.Shift && r.Tick <= m.ReportTick
+}
+
+// Unreached tells whether a report of a new session proves that an answer
+// was lost: the session before has run out within the lease that the answer
+// would have given it.
+func (m *Machine) Unreached(r *Report, lease time.Duration, now time.Time) bool {
+	return m.Known && r.Shift > m.Shift && m.Shift > 0 && !m.Answered.IsZero() && now.Sub(m.Answered) < lease-tuning.LeaseProofMargin
+}
+
 // absenceProves tells whether a report that does not list an attempt proves
 // that it is not on the machine and never will be.
 func (m *Machine) absenceProves(a *Attempt, r *Report, term uint64) bool {
@@ -274,7 +356,7 @@
 // Orders lists what the worker must be told. Starts go only into the answer
 // to a report of the session that they were planned for, and only once their
 // record stands; answering marks them as sent.
-func (m *Machine) Orders(answering bool) []Order {
+func (m *Machine) Orders(answering bool, now time.Time) []Order {
 	var out []Order
 	for _, a := range m.Sorted() {
 		o := Order{Piece: a.ID.Task.String(), Try: a.ID.Try}
@@ -291,6 +373,9 @@
 			grace := a.Grace
 			o.Verb, o.WindDownS = Stop, &grace
 		case a.Status == "" && answering && a.Committed && a.Cleared && a.Shift == m.Shift && !a.Inherited:
+			if !a.Sent {
+				a.SentAt = now
+			}
 			a.Sent, a.SentTick = true, m.Tick
 			o.Verb = Run
 		default:
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -21,10 +21,15 @@
 type Store interface {
 	Get(ctx context.Context, class ledger.Class, key string) (ledger.Row, bool, error)
 	Multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error)
+	List(ctx context.Context, class ledger.Class, prefix string) ([]ledger.Row, uint64, error)
+	Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (uint64, []ledger.Change, error)
 }
 
-// Progress tells how far an open job is, for display only.
-type Progress func(ctx context.Context, id string) (done, running int, ok bool)
+// Tasks counts a job's tasks, for display only.
+type Tasks struct{ Done, Running int }
+
+// Progress tells how far these open jobs are; those not known are left out.
+type Progress func(ctx context.Context, ids []string) map[string]Tasks
 
 // Server answers users. Any node does, whoever leads: what it says of a job
 // comes from the state service, or is final and can't change.
@@ -36,15 +41,19 @@
 	ready    func() bool
 	log      *slog.Logger
 	finals   *lru.Cache[string, Final]
+	mirror   *mirror
+	asks     chan ask
+	conds    int // conditions that one transaction takes
 }
 
 // NewServer makes the users' interface.
-func NewServer(store Store, teams []config.Team, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
+func NewServer(store Store, teams []config.Team, txnOps int, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
 	finals, err := lru.New[string, Final](tuning.FinalCache)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{store, teams, catalog, progress, ready, log, finals}, nil
+	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals,
+		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(txnOps, 1)}, nil
 }
 
 // Register adds the users' endpoints.
@@ -148,12 +157,13 @@
 		WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
 		return
 	}
-	_, err = s.store.Multi(ctx, ledger.Submit,
+	epoch, err := s.store.Multi(ctx, ledger.Submit,
 		[]ledger.Cond{{K: OpenPrefix + j.NameID}, {K: FinalPrefix + j.NameID}},
 		[]ledger.Write{{Set: OpenPrefix + j.NameID, V: value}})
 	var conflict *ledger.Conflict
 	switch {
 	case err == nil:
+		s.mirror.learn(j.NameID, epoch)
 		WriteJSON(w, http.StatusCreated, State{NameID: j.NameID, Status: Pending})
 	case errors.As(err, &conflict):
 		st, found, err := s.look(ctx, j.NameID, ledger.Submit)
@@ -174,26 +184,31 @@
 	if f, ok := s.finals.Get(id); ok {
 		return finalState(id, f), true, nil
 	}
-	_, found, err := s.store.Get(ctx, class, OpenPrefix+id)
+	row, found, err := s.store.Get(ctx, class, OpenPrefix+id)
 	if err != nil {
 		return State{}, false, err
 	}
 	if found {
-		done, running := 0, 0
+		s.mirror.learn(id, row.Stamp)
+		var tasks map[string]Tasks
 		if s.progress != nil {
-			if d, r, ok := s.progress(ctx, id); ok {
-				done, running = d, r
-			}
-		}
-		st := State{NameID: id, Status: Pending, Done: &done, Running: &running}
-		if running > 0 {
-			st.Status = Running
+			tasks = s.progress(ctx, []string{id})
 		}
-		return st, true, nil
+		return openState(id, tasks[id]), true, nil
 	}
+	s.mirror.forget(id, 0)
 	return s.lookFinal(ctx, id, class)
 }
 
+// openState is a job that is neither done nor cancelled.
+func openState(id string, t Tasks) State {
+	st := State{NameID: id, Status: Pending, Done: &t.Done, Running: &t.Running}
+	if t.Running > 0 {
+		st.Status = Running
+	}
+	return st
+}
+
 func (s *Server) lookFinal(ctx context.Context, id string, class ledger.Class) (State, bool, error) {
 	row, found, err := s.store.Get(ctx, class, FinalPrefix+id)
 	if err != nil || !found {
@@ -223,7 +238,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollPatience)
 	defer cancel()
-	st, found, err := s.look(ctx, id, ledger.Poll)
+	st, found, err := s.ask(ctx, id)
 	switch {
 	case err != nil:
 		later(w, "the state service can't be asked")
@@ -274,6 +289,7 @@
 		switch {
 		case err == nil:
 			s.finals.Add(id, f)
+			s.mirror.forget(id, 0)
 			WriteJSON(w, http.StatusOK, State{NameID: id, Status: Aborted})
 			return
 		case !errors.As(err, &conflict):
--- /dev/null
+++ b/internal/leader/bench_test.go
@@ -0,0 +1,95 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/ledger"
+)
+
+// grown makes a leader of a large site: so many machines, all busy but a few,
+// and so many jobs waiting.
+func grown(b *testing.B, rigs, jobs int) (*Leader, []*rig) {
+	now := time.Now()
+	l := testLeader(b)
+	l.teams = []config.Team{{Name: "a", GPUs: 1000, GPUsMax: 8000}}
+	l.d.Settings.Params.Teams = l.teams
+	offline(b, l)
+	l.sure = now
+	var list []*rig
+	for i := range rigs {
+		r := addRig(l, fmt.Sprintf("m-%06d", i), []string{"east", "west"}[i%2], now)
+		r.m.Spot = i%3 == 0
+		list = append(list, r)
+	}
+	for i := range jobs {
+		j := sweep(fmt.Sprintf("j-%06d", i), 40)
+		j.Bundle = fmt.Sprint("img-", i%10)
+		j.Workload = []string{"x", "y"}[i%2]
+		if i%4 == 0 {
+			j.Shape, j.Pieces, j.Accelerators, j.SamePlace, j.Loaners = intake.Gang, 1<<(i/4%5), 4, true, false
+		}
+		addJob(b, l, j, now)
+	}
+	for range 5 {
+		l.dirty = true
+		l.pass(now)
+		settle(l, 100)
+	}
+	return l, list
+}
+
+// BenchmarkPass is one placement pass after a few changes, at the size of a
+// large deployment.
+func BenchmarkPass(b *testing.B) {
+	l, list := grown(b, 1280, 500)
+	now := time.Now()
+	b.ResetTimer()
+	for i := range b.N {
+		for k := range 20 {
+			l.touch(list[(i*20+k)%len(list)])
+		}
+		l.pass(now)
+	}
+}
+
+// BenchmarkReport is a report's way through the leader's routine when it
+// changes nothing.
+func BenchmarkReport(b *testing.B) {
+	l, list := grown(b, 1280, 500)
+	now := time.Now()
+	ch := make(chan Reply, 1)
+	b.ResetTimer()
+	for i := range b.N {
+		r := list[i%len(list)]
+		rep := report(l, r, fleet.Running, "")
+		l.hello(rep, now, ch)
+		l.commit(now)
+		r.waiter.until = now
+		l.wake(r)
+		l.flush(now)
+		<-ch
+	}
+}
+
+// offline starts the group of routines that the leader hands calls to, as Run
+// does, so that parts that talk to others can be driven without Run.
+func offline(tb testing.TB, l *Leader) {
+	group, ctx := errgroup.WithContext(tb.Context())
+	l.tasks, l.ctx = group, ctx
+	l.d.Store = noStore{}
+	tb.Cleanup(func() { _ = group.Wait() })
+}
+
+type noStore struct{ Store }
+
+func (noStore) Multi(context.Context, ledger.Class, []ledger.Cond, []ledger.Write) (uint64, error) {
+	return 0, ledger.ErrUnavailable
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -9,6 +9,7 @@
 	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
+	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/placement"
 	"thornnotch/internal/reserve"
 	"thornnotch/internal/tuning"
@@ -27,11 +28,14 @@
 	stamp uint64 // revision of its record, which never changes
 	seen  time.Time
 
-	did    bitset // finished tasks
-	safe   bitset // those whose completion is recorded
-	doneN  int
-	low    int // no task below it waits
-	stamps map[int]uint64
+	did   bitset // finished tasks
+	safe  bitset // those whose completion is recorded
+	doneN int
+	low   int // no task below it waits
+	// exits are attempts reported done whose completion is not yet recorded.
+	exits map[*fleet.Attempt]*rig
+	// stale is set when the view for placement must be made anew.
+	stale bool
 
 	// seats are the attempts not proven gone or exited, by task.
 	seats   map[int][]seat
@@ -57,6 +61,7 @@
 	notBefore time.Time
 	avoid     map[string]time.Time
 	closing   bool // all tasks are done, the final record is being written
+	moving    bool // a transaction with the final record is under way
 	gone      bool // cancelled or ended
 }
 
@@ -66,12 +71,6 @@
 func (b bitset) has(i int) bool { return b[i/8]&(1<<(i%8)) != 0 }
 func (b bitset) set(i int)      { b[i/8] |= 1 << (i % 8) }
 
-// chunkOf cuts out the part that one record holds.
-func (b bitset) chunkOf(chunk int) []byte {
-	per := tuning.DoneChunk / 8
-	return b[chunk*per : min(len(b), (chunk+1)*per)]
-}
-
 func (j *job) recount() {
 	j.doneN = 0
 	for _, b := range j.did {
@@ -107,7 +106,7 @@
 	j := &job{
 		spec: &spec, stamp: stamp, seen: now,
 		did: make(bitset, (spec.Pieces+7)/8), safe: make(bitset, (spec.Pieces+7)/8),
-		stamps: make(map[int]uint64), seats: make(map[int][]seat), avoid: make(map[string]time.Time),
+		exits: make(map[*fleet.Attempt]*rig), stale: true, seats: make(map[int][]seat), avoid: make(map[string]time.Time),
 		again: make(map[int]bool),
 	}
 	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now, Targets: l.targets(&spec)}
@@ -115,6 +114,8 @@
 		j.view.Submitted = at
 	}
 	l.jobs[name] = j
+	p := j.view.Pipeline()
+	l.pipelines[p] = append(l.pipelines[p], j)
 	l.arrivals[spec.Workload]++
 	if at := j.view.Submitted; now.Sub(at) <= tuning.RecentWindow {
 		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, spec.Pieces)})
@@ -169,55 +170,31 @@
 // has finished it, or its user has cancelled it.
 func (l *Leader) jobGone(name string, now time.Time) {
 	if j := l.jobs[name]; j != nil {
-		l.dropJob(j, now)
+		l.bury(j, now)
 		l.d.Log.Debug("job gone", "id", name)
 	}
 	// The watch tells changes in order: nothing older of it can follow.
 	delete(l.finished, name)
 }
 
-// dropJob ends a job in memory: none of its tasks may run any longer.
-func (l *Leader) dropJob(j *job, now time.Time) {
-	name := j.spec.NameID
-	j.gone = true
-	l.finished[name] = true
-	l.bury(j)
-	for chunk, stamp := range j.stamps {
-		l.committer.sweep(didKey(name, chunk), stamp)
-	}
-	for _, r := range l.rigs {
-		for _, a := range r.m.Attempts {
-			if a.ID.Task.Job != name {
-				continue
-			}
-			if a.Status == fleet.Exited {
-				a.Settled = true
-				continue
-			}
-			l.halt(r, a, 0, now)
-		}
-		l.press(r, now)
-	}
-	delete(l.jobs, name)
-	l.dirty = true
-}
-
 // halt stops one attempt.
 func (l *Leader) halt(r *rig, a *fleet.Attempt, grace float64, now time.Time) {
 	if r.m.Withdraw(a, grace, now) {
 		l.vacate(r, a)
-		r.lazy(now)
 	}
+	l.touch(r)
+	l.wake(r)
 	l.dirty = true
 }
 
 // haltGang stops all attempts of a gang together.
 func (l *Leader) haltGang(j *job, grace float64, now time.Time) {
-	j.short = false
-	for _, seats := range sortedSeats(j) {
-		l.halt(seats.rig, seats.a, grace, now)
+	j.short, j.stale = false, true
+	seats := sortedSeats(j)
+	for _, s := range seats {
+		l.halt(s.rig, s.a, grace, now)
 	}
-	for _, s := range sortedSeats(j) {
+	for _, s := range seats {
 		l.press(s.rig, now)
 	}
 }
@@ -239,10 +216,12 @@
 
 // occupy notes an attempt with its job.
 func (l *Leader) occupy(r *rig, a *fleet.Attempt) {
+	l.touch(r)
 	j := l.jobs[a.ID.Task.Job]
 	if j == nil || a.ID.Task.Index >= j.spec.Pieces {
 		return
 	}
+	j.stale = true
 	i := a.ID.Task.Index
 	j.seats[i] = append(j.seats[i], seat{r, a})
 	j.placed = true
@@ -250,10 +229,18 @@
 
 // vacate takes an attempt off its job once it is gone or has exited.
 func (l *Leader) vacate(r *rig, a *fleet.Attempt) {
+	l.touch(r)
+	l.committer.log.Del(r.m.Name, recordAttempt(a))
 	j := l.jobs[a.ID.Task.Job]
 	if j == nil {
+		if g := l.ghosts[a.ID.Task.Job]; g != nil {
+			if g.seats--; g.seats <= 0 {
+				delete(l.ghosts, a.ID.Task.Job)
+			}
+		}
 		return
 	}
+	j.stale = true
 	i := a.ID.Task.Index
 	kept := j.seats[i][:0:0]
 	for _, s := range j.seats[i] {
@@ -273,6 +260,9 @@
 
 // events takes in what a report or the clock says of a machine's attempts.
 func (l *Leader) events(r *rig, list []fleet.Event, now time.Time) {
+	if len(list) > 0 {
+		l.touch(r)
+	}
 	for _, e := range list {
 		a := e.Attempt
 		j := l.jobs[a.ID.Task.Job]
@@ -284,12 +274,17 @@
 			}
 			l.d.Log.Info("task in no record", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name)
 			l.occupy(r, a)
+			if j == nil {
+				if g := l.ghosts[a.ID.Task.Job]; g != nil {
+					g.seats++
+				}
+			}
 			if j == nil || a.ID.Task.Index >= j.spec.Pieces {
 				l.halt(r, a, 0, now)
 			} else {
 				l.halt(r, a, j.spec.StashS+tuning.StopGrace.Seconds(), now)
 			}
-			r.urgent()
+			l.noteAdd(r, a)
 		case fleet.Seen:
 			l.d.Log.Debug("task seen", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name, "status", a.Status)
 			if j != nil && a.Status == fleet.Running && j.started.IsZero() {
@@ -300,11 +295,9 @@
 				j.again[a.ID.Task.Index] = true
 			}
 			l.vacate(r, a)
-			r.lazy(now)
 			l.lost(r, j, a, true, now)
 		case fleet.Ended:
 			l.vacate(r, a)
-			r.lazy(now)
 			l.exited(r, j, a, now)
 		}
 	}
@@ -321,12 +314,11 @@
 		return
 	}
 	if replace && l.mayReplace(j, a) {
-		j.short = true
+		j.short, j.stale = true, true
 		j.avoid[r.m.Name] = now.Add(tuning.AvoidFor)
 		l.d.Log.Debug("task of a waiting gang to be replaced", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name)
 		return
 	}
-	j.short = false
 	l.haltGang(j, 0, now)
 }
 
@@ -353,7 +345,7 @@
 func (l *Leader) exited(r *rig, j *job, a *fleet.Attempt, now time.Time) {
 	l.d.Log.Debug("task ended", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name, "cause", a.Cause, "saved", a.Saved)
 	if j == nil || a.ID.Task.Index >= j.spec.Pieces {
-		a.Settled = true
+		l.settle(r, a)
 		return
 	}
 	replace := false
@@ -376,7 +368,7 @@
 		j.notBefore = now.Add(tuning.RetryBase)
 		replace = true
 	}
-	a.Settled = true
+	l.settle(r, a)
 	l.lost(r, j, a, replace, now)
 }
 
@@ -384,17 +376,24 @@
 // record stands.
 func (l *Leader) finish(r *rig, j *job, a *fleet.Attempt, now time.Time) {
 	first := !j.did.has(a.ID.Task.Index)
+	j.exits[a], j.stale = r, true
 	l.notePace(r, j, a, now)
 	if j.spec.Shape == intake.Gang {
 		// A gang's tasks complete together: one done, all done.
-		for i := 0; i < j.spec.Pieces; i++ {
-			j.did.set(i)
+		if first {
+			for i := range j.spec.Pieces {
+				j.did.set(i)
+			}
+			j.doneN = j.spec.Pieces
+			l.noteDone(j, wal.AllTasks)
 		}
-	} else {
+	} else if first {
 		j.did.set(a.ID.Task.Index)
+		j.doneN++
+		l.noteDone(j, a.ID.Task.Index)
 	}
 	j.failures = 0
-	j.recount()
+	l.settleDone(j)
 	if first || j.spec.Shape == intake.Gang {
 		l.reserve(r, j, a, now)
 	}
@@ -407,6 +406,21 @@
 	l.checkComplete(j)
 }
 
+// noteDone has a task's completion recorded, before its worker may forget it.
+func (l *Leader) noteDone(j *job, task int) {
+	l.committer.log.Done(j.spec.NameID, []int{task}, func() {
+		if j.gone {
+			return
+		}
+		if task == wal.AllTasks {
+			copy(j.safe, j.did)
+		} else {
+			j.safe.set(task)
+		}
+		l.settleDone(j)
+	})
+}
+
 // reserve applies the hold rule to the room that a finished task leaves.
 func (l *Leader) reserve(r *rig, j *job, a *fleet.Attempt, now time.Time) {
 	f := reserve.Finish{
@@ -423,7 +437,7 @@
 		f.Fits = r.open(now) && placement.Allowed(&next.view, l.shape(r)) && l.room(r).Fits(f.Next.Need)
 	}
 	if l.book.Finished(f) {
-		r.lazy(now)
+		l.lazy(r, now)
 		return
 	}
 	l.offer(r, now)
@@ -438,21 +452,27 @@
 		j := l.jobs[name]
 		return j != nil && placement.Allowed(&j.view, l.shape(r)) && l.room(r).Fits(need)
 	}, now) {
-		r.lazy(now)
+		l.lazy(r, now)
 	}
 }
 
 // downstream is the pipeline's earliest job still waiting to start.
 func (l *Leader) downstream(up *job) *job {
+	p := up.view.Pipeline()
+	// Jobs come in the order of their records, but for those that were read
+	// at the takeover.
 	var best *job
-	for _, j := range l.jobs {
-		if j == up || j.placed || j.view.Pipeline() != up.view.Pipeline() {
+	kept := l.pipelines[p][:0]
+	for _, j := range l.pipelines[p] {
+		if j.gone {
 			continue
 		}
-		if best == nil || j.stamp < best.stamp {
+		kept = append(kept, j)
+		if j != up && !j.placed && (best == nil || j.stamp < best.stamp) {
 			best = j
 		}
 	}
+	l.pipelines[p] = kept
 	return best
 }
 
@@ -468,14 +488,3 @@
 		l.committer.final = append(l.committer.final, j)
 	}
 }
-
-// settle lets workers forget the exits of a job's tasks that are recorded.
-func (l *Leader) settle(name string, recorded func(i int) bool) {
-	for _, r := range l.rigs {
-		for id, a := range r.m.Attempts {
-			if id.Task.Job == name && a.Status == fleet.Exited && a.Cause == fleet.CauseDone && recorded(id.Task.Index) {
-				a.Settled = true
-			}
-		}
-	}
-}
--- a/internal/leader/pace.go
+++ b/internal/leader/pace.go
@@ -1,7 +1,7 @@
 package leader
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"thornnotch/internal/fleet"
@@ -17,7 +17,12 @@
 // elsewhere, and the machine gets no new ones for a while.
 
 // pace is what a job's finished tasks tell of its run time.
-type pace struct{ runs []time.Duration }
+type pace struct {
+	runs []time.Duration
+	// middle is the middle of runs, as it was reckoned last; zero when that
+	// must be done anew.
+	middle time.Duration
+}
 
 // add takes in a finished task's run time.
 func (p *pace) add(ran time.Duration) {
@@ -25,6 +30,7 @@
 		p.runs = p.runs[1:]
 	}
 	p.runs = append(p.runs, ran)
+	p.middle = 0
 }
 
 // typical is the middle run time, once enough of the job's tasks are done: the
@@ -33,9 +39,12 @@
 	if len(p.runs) < tuning.PaceLeast || 2*len(p.runs) < min(pieces, tuning.PaceRuns) {
 		return 0, false
 	}
-	s := append([]time.Duration(nil), p.runs...)
-	sort.Slice(s, func(i, j int) bool { return s[i] < s[j] })
-	return s[len(s)/2], true
+	if p.middle == 0 {
+		s := slices.Clone(p.runs)
+		slices.Sort(s)
+		p.middle = s[len(s)/2]
+	}
+	return p.middle, true
 }
 
 // suspicion is how strongly a task's run time so far speaks against its
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -4,110 +4,193 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"thornnotch/internal/fleet"
+	"thornnotch/internal/leader/wal"
+	"thornnotch/internal/ledger"
 	"thornnotch/internal/placement"
 	"thornnotch/internal/reserve"
+	"thornnotch/internal/tuning"
 )
 
-// Keys of the leader's records.
+// Keys of the records of the earlier format: one for each machine, one for
+// each run of a job's tasks. They are read while there is no log, and removed
+// once the first checkpoint stands.
 const (
-	rigPrefix = "rig/"
-	didPrefix = "did/"
+	oldRigPrefix = "rig/"
+	oldDidPrefix = "did/"
 )
 
-// rigRecord is what is kept of one machine: the attempts that may be on it,
-// the room held there and the images that it has.
-type rigRecord struct {
-	Type     string       `json:"t,omitempty"`
-	Zone     string       `json:"z,omitempty"`
-	Spot     bool         `json:"s,omitempty"`
-	Endpoint string       `json:"e,omitempty"`
-	Shift    uint64       `json:"h,omitempty"`
-	Leaving  bool         `json:"l,omitempty"`
-	Attempts []attemptRec `json:"a,omitempty"`
-	// Jobs gives owner and size of the attempts' jobs: a job may be over
-	// while a task of it still stands on a machine and counts.
-	Jobs   map[string]jobRec `json:"j,omitempty"`
-	Holds  []holdRec         `json:"o,omitempty"`
-	Images []imageRec        `json:"i,omitempty"`
+func roomOf(r wal.Room) placement.Room {
+	return placement.Room{VCPUs: r[0], GPUs: r[1], RAM: r[2]}
 }
 
-type attemptRec struct {
-	Piece string `json:"p"`
-	Try   uint64 `json:"t"`
-	Shift uint64 `json:"h"`
-}
+func recordRoom(r placement.Room) wal.Room { return wal.Room{r.VCPUs, r.GPUs, r.RAM} }
 
-type jobRec struct {
-	Owner string  `json:"w"`
-	Room  roomRec `json:"r"`
+func holdOf(h wal.Hold, rig string) reserve.Hold {
+	return reserve.Hold{
+		Rig: rig, Pipeline: placement.Pipeline{Owner: h.Owner, Workload: h.Workload},
+		Upstream: h.Up, Downstream: h.Down, Priority: h.Priority,
+		Room: roomOf(h.Room), Expires: time.UnixMilli(h.Expires),
+	}
 }
 
-// roomRec is CPUs, GPUs and memory, in this order.
-type roomRec [3]float64
-
-func (r roomRec) room() placement.Room { return placement.Room{VCPUs: r[0], GPUs: r[1], RAM: r[2]} }
-
-func recordRoom(r placement.Room) roomRec { return roomRec{r.VCPUs, r.GPUs, r.RAM} }
-
-type holdRec struct {
-	Owner    string  `json:"w"`
-	Workload string  `json:"k"`
-	Up       string  `json:"u"`
-	Down     string  `json:"d"`
-	Priority int     `json:"p"`
-	Room     roomRec `json:"r"`
-	Expires  int64   `json:"x"` // Unix time, ms
+func recordHold(h reserve.Hold) wal.Hold {
+	return wal.Hold{Owner: h.Pipeline.Owner, Workload: h.Pipeline.Workload, Up: h.Upstream, Down: h.Downstream,
+		Priority: h.Priority, Room: recordRoom(h.Room), Expires: h.Expires.UnixMilli()}
 }
 
-type imageRec struct {
-	Name string  `json:"n"`
-	GB   float64 `json:"g"`
+func recordAttempt(a *fleet.Attempt) wal.Attempt {
+	return wal.Attempt{Piece: a.ID.Task.String(), Try: a.ID.Try, Shift: a.Shift}
 }
 
-func (h holdRec) hold(rig string) reserve.Hold {
-	return reserve.Hold{
-		Rig: rig, Pipeline: placement.Pipeline{Owner: h.Owner, Workload: h.Workload},
-		Upstream: h.Up, Downstream: h.Down, Priority: h.Priority,
-		Room: h.Room.room(), Expires: time.UnixMilli(h.Expires),
+func attemptOf(r wal.Attempt, now time.Time) (*fleet.Attempt, error) {
+	task, err := fleet.ParseTaskID(r.Piece)
+	if err != nil {
+		return nil, err
 	}
+	return &fleet.Attempt{ID: fleet.AttemptID{Task: task, Try: r.Try}, Shift: r.Shift,
+		Committed: true, Cleared: true, Inherited: true, Sent: true, PlannedAt: now}, nil
 }
 
-func recordHold(h reserve.Hold) holdRec {
-	return holdRec{h.Pipeline.Owner, h.Pipeline.Workload, h.Upstream, h.Downstream, h.Priority,
-		recordRoom(h.Room), h.Expires.UnixMilli()}
+// meta is what is recorded of a machine beside its attempts.
+func (l *Leader) meta(r *rig) wal.Rig {
+	rec := wal.Rig{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Endpoint: r.m.Endpoint, Shift: r.m.Shift, Leaving: r.leaving}
+	for _, h := range l.book.On(r.m.Name) {
+		rec.Holds = append(rec.Holds, recordHold(h))
+	}
+	for _, im := range r.images {
+		if im.have {
+			rec.Images = append(rec.Images, wal.Image{Name: im.name, GB: im.gb})
+		}
+	}
+	// Their order of use is no worth a new record.
+	slices.SortFunc(rec.Images, func(a, b wal.Image) int { return strings.Compare(a.Name, b.Name) })
+	return rec
 }
 
-func didKey(job string, chunk int) string { return fmt.Sprintf("%s%s/%d", didPrefix, job, chunk) }
+// record is all that is recorded of a machine.
+func (l *Leader) record(r *rig) wal.Rig {
+	rec := l.meta(r)
+	for _, a := range r.m.Sorted() {
+		if !a.Live() {
+			continue
+		}
+		rec.Attempts = append(rec.Attempts, recordAttempt(a))
+		if rec.Jobs == nil {
+			rec.Jobs = make(map[string]wal.Job)
+		}
+		rec.Jobs[a.ID.Task.Job] = wal.Job{Owner: l.ownerOf(a), Room: recordRoom(l.needOf(a))}
+	}
+	return rec
+}
 
-func parseDidKey(key string) (job string, chunk int, ok bool) {
-	job, c, ok := strings.Cut(strings.TrimPrefix(key, didPrefix), "/")
-	chunk, err := strconv.Atoi(c)
-	return job, chunk, ok && err == nil && chunk >= 0
+// restore takes in what was recorded of a machine.
+func (l *Leader) restore(name string, rec *wal.Rig, now time.Time) error {
+	r := l.rig(name, now)
+	r.metaNoted = true
+	r.leaving = rec.Leaving
+	r.leavingSafe = rec.Leaving
+	r.m.Type, r.m.Zone, r.m.Spot, r.m.Endpoint, r.m.Shift = rec.Type, rec.Zone, rec.Spot, rec.Endpoint, rec.Shift
+	for _, ar := range rec.Attempts {
+		a, err := attemptOf(ar, now)
+		if err != nil {
+			return fmt.Errorf("record of %s: %w", name, err)
+		}
+		r.m.Attempts[a.ID] = a
+		id := a.ID.Task.Job
+		if l.jobs[id] == nil {
+			g := l.ghosts[id]
+			if g == nil {
+				was := rec.Jobs[id]
+				g = &ghost{owner: was.Owner, need: roomOf(was.Room)}
+				l.ghosts[id] = g
+			}
+			g.seats++
+			r.m.Withdraw(a, 0, now)
+		}
+		l.occupy(r, a)
+	}
+	for _, im := range rec.Images {
+		r.images = append(r.images, image{name: im.Name, gb: im.GB, have: true})
+	}
+	for _, h := range rec.Holds {
+		l.book.Restore(holdOf(h, name))
+	}
+	return nil
 }
 
-func encodeChunk(raw []byte) json.RawMessage {
-	out, _ := json.Marshal(base64.StdEncoding.EncodeToString(raw)) // a string always encodes
-	return out
+// restoreDone takes in completed tasks of a job.
+func (l *Leader) restoreDone(name string, list []int) {
+	j := l.jobs[name]
+	if j == nil {
+		return
+	}
+	for _, i := range list {
+		switch {
+		case i == wal.AllTasks:
+			for k := range j.spec.Pieces {
+				j.did.set(k)
+				j.safe.set(k)
+			}
+		case i >= 0 && i < j.spec.Pieces:
+			j.did.set(i)
+			j.safe.set(i)
+		}
+	}
+	j.recount()
+	j.stale = true
 }
 
-func decodeChunk(v json.RawMessage) ([]byte, error) {
-	var s string
-	if err := json.Unmarshal(v, &s); err != nil {
-		return nil, err
+// restoreOld reads the records of the earlier format. A machine's record that
+// can't be read may hide a task that still runs, so it ends the takeover; one
+// of completed tasks can't do harm: its tasks run again.
+func (l *Leader) restoreOld(rigs, dids []ledger.Row, now time.Time) error {
+	l.legacy = make(map[string]uint64)
+	for _, row := range rigs {
+		var rec wal.Rig
+		if err := json.Unmarshal(row.V, &rec); err != nil {
+			return fmt.Errorf("record %s: %w", row.K, err)
+		}
+		if err := l.restore(strings.TrimPrefix(row.K, oldRigPrefix), &rec, now); err != nil {
+			return err
+		}
+		l.legacy[row.K] = row.Stamp
 	}
-	return base64.StdEncoding.DecodeString(s)
+	for _, row := range dids {
+		l.legacy[row.K] = row.Stamp
+		job, list, err := oldDone(row)
+		if err != nil {
+			l.d.Log.Error("unreadable record", "key", row.K, "err", err)
+			continue
+		}
+		l.restoreDone(job, list)
+	}
+	return nil
 }
 
-func attemptOf(r attemptRec, now time.Time) (*fleet.Attempt, error) {
-	task, err := fleet.ParseTaskID(r.Piece)
+func oldDone(row ledger.Row) (job string, list []int, err error) {
+	job, number, ok := strings.Cut(strings.TrimPrefix(row.K, oldDidPrefix), "/")
+	chunk, err := strconv.Atoi(number)
+	if !ok || err != nil || chunk < 0 {
+		return "", nil, fmt.Errorf("%q is not a key of this kind", row.K)
+	}
+	var text string
+	if err := json.Unmarshal(row.V, &text); err != nil {
+		return "", nil, err
+	}
+	bits, err := base64.StdEncoding.DecodeString(text)
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
-	return &fleet.Attempt{ID: fleet.AttemptID{Task: task, Try: r.Try}, Shift: r.Shift,
-		Committed: true, Cleared: true, Inherited: true, Sent: true, PlannedAt: now}, nil
+	for k := range len(bits) * 8 {
+		if bitset(bits).has(k) {
+			list = append(list, chunk*tuning.DoneChunk+k)
+		}
+	}
+	return job, list, nil
 }
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -21,6 +21,13 @@
 	}
 	w, jobs := l.world(now)
 	plan := placement.Decide(w)
+	for _, s := range plan.Starts {
+		l.rigs[s.Rig.Name].stale = true
+		jobs[s.Job.Spec.NameID].stale = true
+	}
+	for _, e := range plan.Evicts {
+		l.rigs[e.Rig.Name].stale = true
+	}
 	for _, e := range plan.Evicts {
 		l.evict(e, now)
 	}
@@ -41,6 +48,9 @@
 	}
 	l.market.unmet(plan.Unmet, now)
 	l.summary(w, now)
+	l.passTook = time.Since(now)
+	l.counts.Passes++
+	l.counts.PassS += l.passTook.Seconds()
 }
 
 // summary logs once in a while what the machines do and what waits.
@@ -76,19 +86,28 @@
 		"waiting", fmt.Sprint(waits), "booting", len(l.market.booting), "rigs", len(l.rigs))
 }
 
-// world shows the present state to placement.
-func (l *Leader) world(now time.Time) (*placement.World, map[string]*job) {
-	w := &placement.World{Now: now, Teams: make(map[string]*placement.Team)}
-	for _, t := range l.teams {
-		w.Teams[t.Name] = &placement.Team{Name: t.Name,
-			Guarantee: placement.Room{VCPUs: t.CPUs, GPUs: t.GPUs}, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}}
+// ownerUse is what one attempt or hold adds to its team's use.
+type ownerUse struct {
+	owner string
+	room  placement.Room
+}
+
+// count replaces what a machine adds to the teams' use.
+func (l *Leader) count(r *rig, uses []ownerUse) {
+	for _, u := range r.counted {
+		l.use[u.owner] = l.use[u.owner].Sub(u.room)
 	}
-	use := func(owner string, room placement.Room) {
-		if t := w.Teams[owner]; t != nil {
-			t.Used = t.Used.Add(room)
-		}
+	for _, u := range uses {
+		l.use[u.owner] = l.use[u.owner].Add(u.room)
 	}
-	var all []*placement.Job
+	r.counted = uses
+}
+
+// world shows the present state to placement. Machines and jobs that have not
+// changed are shown as before.
+func (l *Leader) world(now time.Time) (*placement.World, map[string]*job) {
+	w := &placement.World{Now: now, Teams: make(map[string]*placement.Team)}
+	all := make([]*placement.Job, 0, len(l.jobs))
 	for _, j := range l.jobs {
 		if j.closing {
 			continue
@@ -96,59 +115,82 @@
 		l.show(j, now)
 		all = append(all, &j.view)
 	}
+	rigs := l.sortedRigs()
+	w.Rigs = make([]*placement.Rig, 0, len(rigs))
+	for _, r := range rigs {
+		if r.view == nil || r.stale || now.Sub(r.viewAt) > tuning.ViewAge {
+			l.showRig(r, now)
+		}
+		// Placement may put work only on machines that have shown our token:
+		// a report may be a late copy of one from a machine that is no more.
+		r.view.Open = r.view.Total != (placement.Room{}) && r.open(now) && r.m.Warrant == l.grant.Term
+		w.Rigs = append(w.Rigs, r.view)
+	}
+	for _, t := range l.teams {
+		w.Teams[t.Name] = &placement.Team{Name: t.Name, Used: l.use[t.Name],
+			Guarantee: placement.Room{VCPUs: t.CPUs, GPUs: t.GPUs}, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}}
+	}
 	placement.MarkGuaranteed(all, w.Teams)
+	placement.MarkOverdue(all, now)
 	for _, v := range all {
 		if len(v.Waiting) > 0 {
 			w.Jobs = append(w.Jobs, v)
 		}
 	}
-	cat := l.d.Catalog()
-	for _, r := range l.rigs {
-		typ, ok := cat.Type(r.m.Type)
-		pr := l.shape(r)
-		pr.Open = ok && r.open(now)
-		pr.Seats = int(l.d.Settings.Params.State.ValueKB*1024)/tuning.AttemptBytes - len(r.m.Attempts)
-		pr.Total = placement.Room{VCPUs: typ.VCPUs, GPUs: typ.Accelerators, RAM: typ.RAMGB}
-		pr.Pull = typ.PullGBPerS
-		pr.Cached = make(map[string]time.Duration, len(r.images))
-		for _, im := range r.images {
-			if im.have {
-				pr.Cached[im.name] = 0
-			}
+	return w, l.jobs
+}
+
+// showRig makes a machine's view anew.
+func (l *Leader) showRig(r *rig, now time.Time) {
+	r.stale, r.viewAt = false, now
+	var uses []ownerUse
+	typ, _ := l.d.Catalog().Type(r.m.Type)
+	pr := l.shape(r)
+	pr.Seats = int(l.d.Settings.Params.State.ValueKB*1024)/tuning.AttemptBytes - len(r.m.Attempts)
+	pr.Total = placement.Room{VCPUs: typ.VCPUs, GPUs: typ.Accelerators, RAM: typ.RAMGB}
+	pr.Pull = typ.PullGBPerS
+	pr.Cached = make(map[string]time.Duration, len(r.images))
+	for _, im := range r.images {
+		if im.have {
+			pr.Cached[im.name] = 0
 		}
-		for _, a := range r.m.Attempts {
-			if !a.Live() {
-				continue
-			}
-			room := l.needOf(a)
-			use(l.ownerOf(a), room)
-			s := placement.Slot{Index: a.ID.Task.Index, Try: a.ID.Try, Room: room, Ending: a.Halt}
-			if j := l.jobs[a.ID.Task.Job]; j != nil {
-				s.Job = &j.view
-				s.Left, s.Loss = l.outlook(j, a, now)
-				if _, have := pr.Cached[j.spec.Bundle]; !have && (a.Status == "" || a.Status == fleet.Fetching) && typ.PullGBPerS > 0 {
-					pr.Fetching++
-					full := j.spec.ImageGB / typ.PullGBPerS * float64(pr.Fetching)
-					pr.Cached[j.spec.Bundle] = max(time.Second, time.Duration(full*float64(time.Second))-now.Sub(a.PlannedAt))
-				}
-			}
-			pr.Slots = append(pr.Slots, s)
+	}
+	for _, a := range r.m.Attempts {
+		if !a.Live() {
+			continue
 		}
-		for _, h := range l.book.On(r.m.Name) {
-			pr.Held = append(pr.Held, placement.Held{Pipeline: h.Pipeline, Priority: h.Priority, Room: h.Room})
-			use(h.Pipeline.Owner, h.Room)
+		room := l.needOf(a)
+		uses = append(uses, ownerUse{l.ownerOf(a), room})
+		s := placement.Slot{Index: a.ID.Task.Index, Try: a.ID.Try, Room: room, Ending: a.Halt}
+		if j := l.jobs[a.ID.Task.Job]; j != nil {
+			s.Job = &j.view
+			s.Left, s.Loss = l.outlook(j, a, now)
+			if _, have := pr.Cached[j.spec.Bundle]; !have && (a.Status == "" || a.Status == fleet.Fetching) && typ.PullGBPerS > 0 {
+				pr.Fetching++
+				full := j.spec.ImageGB / typ.PullGBPerS * float64(pr.Fetching)
+				pr.Cached[j.spec.Bundle] = max(time.Second, time.Duration(full*float64(time.Second))-now.Sub(a.PlannedAt))
+			}
 		}
-		w.Rigs = append(w.Rigs, pr)
+		pr.Slots = append(pr.Slots, s)
 	}
-	return w, l.jobs
+	for _, h := range l.book.On(r.m.Name) {
+		pr.Held = append(pr.Held, placement.Held{Pipeline: h.Pipeline, Priority: h.Priority, Room: h.Room})
+		uses = append(uses, ownerUse{h.Pipeline.Owner, h.Room})
+	}
+	l.count(r, uses)
+	r.view = pr
 }
 
 // show brings a job's view for placement up to date.
 func (l *Leader) show(j *job, now time.Time) {
 	v := &j.view
-	v.Waiting = v.Waiting[:0]
 	v.Weigh(now, l.share(j.spec.Workload))
 	v.Blocked = now.Before(j.notBefore)
+	if !j.stale && len(j.avoid) == 0 {
+		return
+	}
+	j.stale = false
+	v.Waiting = v.Waiting[:0]
 	v.Zones = make(map[string]int)
 	for _, seats := range j.seats {
 		for _, s := range seats {
@@ -275,12 +317,13 @@
 			Shift: r.m.Shift, PlannedAt: now}
 		r.m.Attempts[a.ID] = a
 		l.occupy(r, a)
+		l.noteAdd(r, a)
 		if l.book.Use(r.m.Name, j.view.Pipeline()) {
 			l.d.Log.Debug("hold used", "rig", r.m.Name, "job", j.spec.NameID)
+			l.lazy(r, now)
 		}
 		l.book.Override(r.m.Name, s.Rig.Total.Sub(l.used(r)))
 		r.touch(j.spec.Bundle, j.spec.ImageGB, false, l.cacheOf(r))
-		r.urgent()
 		l.d.Log.Debug("placed", "piece", a.ID.Task, "try", try, "rig", r.m.Name)
 	}
 }
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"time"
 
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/placement"
+	"thornnotch/internal/tuning"
 )
 
 // Status is the state of a term as operators see it.
@@ -19,12 +21,18 @@
 	Booting  int             `json:"booting"`
 	Leaving  int             `json:"leaving"`
 	State    RecordingStatus `json:"recording"`
+	Work     counts          `json:"work"`
 }
 
 // RecordingStatus tells whether records can be written.
 type RecordingStatus struct {
 	Healthy bool    `json:"healthy"`
 	SureS   float64 `json:"sureS"` // since all cancellations were certainly known
+	// Backlog is the number of log entries that a takeover would read on top
+	// of the last checkpoint; UnwrittenS how long the oldest transaction under
+	// way has taken.
+	Backlog    int     `json:"backlog"`
+	UnwrittenS float64 `json:"unwrittenS"`
 }
 
 // MachineCount counts the machines of one pool.
@@ -86,7 +94,10 @@
 
 func (l *Leader) snapshot(now time.Time) Status {
 	st := Status{Term: l.grant.Term, Booting: len(l.market.booting),
-		State: RecordingStatus{Healthy: l.committer.backoff == 0, SureS: now.Sub(l.sure).Seconds()}}
+		State: RecordingStatus{Healthy: l.committer.backoff == 0, SureS: now.Sub(l.sure).Seconds(), Backlog: l.committer.log.Backlog()}, Work: l.counts}
+	if l.committer.log.InFlight() {
+		st.State.UnwrittenS = now.Sub(l.committer.since).Seconds()
+	}
 	type pool struct {
 		t, z string
 		spot bool
@@ -171,3 +182,35 @@
 	}
 	return st
 }
+
+// counts are running sums of what the leader's routine does.
+type counts struct {
+	Passes   uint64  `json:"passes"`
+	PassS    float64 `json:"passS"` // time spent in them
+	Reports  uint64  `json:"reports"`
+	Copies   uint64  `json:"lateCopies"` // late copies of reports
+	Orders   uint64  `json:"orders"`     // sent in answers
+	Commands uint64  `json:"commands"`   // sent directly
+	Commits  uint64  `json:"commits"`
+	CommitS  float64 `json:"commitS"`
+	Calls    uint64  `json:"calls"` // taken by the routine
+	BusyS    float64 `json:"busyS"` // time the routine was at work
+}
+
+// logLoad logs once in a while how much the routine had to do since last.
+func (l *Leader) logLoad(now time.Time) {
+	if now.Sub(l.lastLoad) < tuning.LoadEvery {
+		return
+	}
+	s := now.Sub(l.lastLoad).Seconds()
+	c, was := l.counts, l.counted
+	per := func(a, b uint64) float64 { return math.Round(float64(a-b)/s*10) / 10 }
+	part := func(a, b float64) float64 { return math.Round((a-b)/s*1000) / 1000 }
+	if !l.lastLoad.IsZero() {
+		l.d.Log.Info("load", "jobs", len(l.jobs), "machines", len(l.rigs), "reports_s", per(c.Reports, was.Reports),
+			"orders_s", per(c.Orders, was.Orders), "commands_s", per(c.Commands, was.Commands), "passes_s", per(c.Passes, was.Passes),
+			"pass_part", part(c.PassS, was.PassS), "commits_s", per(c.Commits, was.Commits), "commit_part", part(c.CommitS, was.CommitS),
+			"busy_part", part(c.BusyS, was.BusyS), "queue", len(l.calls), "log", l.committer.log.Backlog())
+	}
+	l.lastLoad, l.counted = now, c
+}
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -65,11 +65,6 @@
 // trade runs the dealings with the cloud: one call at a time.
 func (l *Leader) trade(now time.Time) {
 	m := &l.market
-	for name := range l.ghosts {
-		if !l.haunts(name) {
-			delete(l.ghosts, name)
-		}
-	}
 	for _, r := range l.rigs {
 		if len(r.m.Attempts) > 0 {
 			r.idleSince = now
@@ -101,18 +96,6 @@
 	}
 }
 
-// haunts tells whether any attempt of a job may still be on a machine.
-func (l *Leader) haunts(job string) bool {
-	for _, r := range l.rigs {
-		for id, a := range r.m.Attempts {
-			if id.Task.Job == job && a.Live() {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (l *Leader) listEvery() time.Duration {
 	return max(time.Duration(l.d.Settings.Params.Cloud.ListLagS*float64(time.Second)), 3*time.Second)
 }
@@ -178,7 +161,8 @@
 	r.leaving = true
 	r.leavingSafe = false
 	l.book.Drop(r.m.Name)
-	r.urgent()
+	l.noteMeta(r, func() { r.leavingSafe = r.leaving })
+	l.touch(r)
 	l.drain(r, now)
 	l.dirty = true
 }
@@ -239,10 +223,8 @@
 				if r.waiter != nil {
 					r.waiter.reply <- Reply{Status: 503}
 				}
-				delete(l.rigs, name)
-				if r.stamp != 0 {
-					l.committer.sweep(rigPrefix+name, r.stamp)
-				}
+				l.forget(r)
+				l.committer.log.Gone(name)
 			}
 			l.dirty = true
 		})
--- /dev/null
+++ b/internal/leader/wal/record.go
@@ -0,0 +1,260 @@
+// Package wal is the leader's write-ahead log: what its values hold, how they
+// are packed into transactions, and how a later term reads them back. It does
+// no I/O.
+//
+// Decisions of a term go into numbered entries. The entries stand in a ring of
+// keys, so that none need be removed. From time to time the whole state is
+// written anew, as a checkpoint in one of two areas of keys by turns; once its
+// last part stands, the head names it, and the entries before it are free.
+package wal
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"thornnotch/internal/tuning"
+)
+
+// Keys.
+const (
+	Prefix     = "log/"
+	HeadKey    = Prefix + "head"
+	ringPrefix = Prefix + "r/"
+)
+
+func ringKey(seq uint64) string { return fmt.Sprintf("%s%04d", ringPrefix, seq%tuning.LogRing) }
+
+func partKey(area string, part int) string { return fmt.Sprintf("%s%s/%04d", Prefix, area, part) }
+
+// Head is set by every transaction of a leader and is a condition of the next:
+// no transaction can be carried out twice, or after a later one.
+type Head struct {
+	// Term and Turn name the transaction that wrote it.
+	Term uint64 `json:"term"`
+	Turn uint64 `json:"turn"`
+	// Entries from From up to Next, without it, count on top of the checkpoint.
+	From uint64 `json:"from"`
+	Next uint64 `json:"next"`
+	// Area and Parts say where the newest whole checkpoint stands.
+	Area  string `json:"area,omitempty"`
+	Parts int    `json:"parts,omitempty"`
+}
+
+// Attempt is one start of a task that may be on its machine.
+type Attempt struct {
+	Piece string `json:"p"`
+	Try   uint64 `json:"t"`
+	Shift uint64 `json:"h"`
+}
+
+// Job is the owner and size of an attempt's job: the job may be over while a
+// task of it still stands on a machine and counts.
+type Job struct {
+	Owner string `json:"w"`
+	Room  Room   `json:"r"`
+}
+
+// Room is CPUs, GPUs and memory, in this order.
+type Room [3]float64
+
+// Hold is room kept for a pipeline.
+type Hold struct {
+	Owner    string `json:"w"`
+	Workload string `json:"k"`
+	Up       string `json:"u"`
+	Down     string `json:"d"`
+	Priority int    `json:"p"`
+	Room     Room   `json:"r"`
+	Expires  int64  `json:"x"` // Unix time, ms
+}
+
+// Image is one image that a machine has.
+type Image struct {
+	Name string  `json:"n"`
+	GB   float64 `json:"g"`
+}
+
+// Rig is what is kept of one machine.
+type Rig struct {
+	Type     string         `json:"t,omitempty"`
+	Zone     string         `json:"z,omitempty"`
+	Spot     bool           `json:"s,omitempty"`
+	Endpoint string         `json:"e,omitempty"`
+	Shift    uint64         `json:"h,omitempty"`
+	Leaving  bool           `json:"l,omitempty"`
+	Attempts []Attempt      `json:"a,omitempty"`
+	Jobs     map[string]Job `json:"j,omitempty"`
+	Holds    []Hold         `json:"o,omitempty"`
+	Images   []Image        `json:"i,omitempty"`
+}
+
+// Change is what one entry says of one machine.
+type Change struct {
+	// Meta replaces all but the attempts.
+	Meta *Rig           `json:"m,omitempty"`
+	Add  []Attempt      `json:"a,omitempty"`
+	Del  []Attempt      `json:"x,omitempty"` // proven to be off the machine
+	Jobs map[string]Job `json:"j,omitempty"`
+	// Gone: the cloud has taken the machine back.
+	Gone bool `json:"g,omitempty"`
+}
+
+// AllTasks stands for every task of a job in an entry's list.
+const AllTasks = -1
+
+// Entry is one value of the log.
+type Entry struct {
+	Seq  uint64            `json:"s"`
+	Rigs map[string]Change `json:"r,omitempty"`
+	// Done are tasks that were completed, by job.
+	Done map[string][]int `json:"d,omitempty"`
+}
+
+// part is one value of a checkpoint.
+type part struct {
+	Rigs map[string]Rig    `json:"r,omitempty"`
+	Done map[string][]Done `json:"d,omitempty"`
+}
+
+// Done is a run of a job's completed tasks: bits from task First on.
+type Done struct {
+	First int    `json:"f"`
+	Bits  []byte `json:"b"`
+}
+
+// Row is one key as the state service lists it.
+type Row struct {
+	Key   string
+	Value json.RawMessage
+}
+
+// State is what the log says once it is read.
+type State struct {
+	Head Head
+	Rigs map[string]*Rig
+	// Done lists completed tasks; AllTasks means all of them.
+	Done map[string][]int
+}
+
+// Read rebuilds the state from all rows below Prefix. A value that the head
+// counts on and that can't be read may hide a task that still runs, so it is
+// an error: nothing may be decided without it. Rows that are not ours are
+// named in odd and do no harm.
+func Read(rows []Row) (st State, odd []string, err error) {
+	st = State{Rigs: make(map[string]*Rig), Done: make(map[string][]int)}
+	byKey := make(map[string]json.RawMessage, len(rows))
+	for _, r := range rows {
+		byKey[r.Key] = r.Value
+		if !ours(r.Key) {
+			odd = append(odd, r.Key)
+		}
+	}
+	raw, ok := byKey[HeadKey]
+	if !ok {
+		return st, odd, nil
+	}
+	if err := json.Unmarshal(raw, &st.Head); err != nil {
+		return st, odd, fmt.Errorf("record %s: %w", HeadKey, err)
+	}
+	h := st.Head
+	for i := range h.Parts {
+		key := partKey(h.Area, i)
+		var p part
+		if err := decode(byKey, key, &p); err != nil {
+			return st, odd, err
+		}
+		for name, r := range p.Rigs {
+			st.Rigs[name] = &r
+		}
+		for job, runs := range p.Done {
+			for _, d := range runs {
+				for k := range len(d.Bits) * 8 {
+					if d.Bits[k/8]&(1<<(k%8)) != 0 {
+						st.Done[job] = append(st.Done[job], d.First+k)
+					}
+				}
+			}
+		}
+	}
+	for seq := h.From; seq < h.Next; seq++ {
+		var e Entry
+		if err := decode(byKey, ringKey(seq), &e); err != nil {
+			return st, odd, err
+		}
+		if e.Seq != seq {
+			return st, odd, fmt.Errorf("record %s holds entry %d, not %d", ringKey(seq), e.Seq, seq)
+		}
+		st.apply(e)
+	}
+	return st, odd, nil
+}
+
+func ours(key string) bool {
+	if key == HeadKey {
+		return true
+	}
+	area, number, ok := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
+	_, err := strconv.Atoi(number)
+	return ok && err == nil && (area == "r" || area == "a" || area == "b")
+}
+
+func decode(rows map[string]json.RawMessage, key string, into any) error {
+	raw, ok := rows[key]
+	if !ok {
+		return fmt.Errorf("record %s is missing", key)
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("record %s: %w", key, err)
+	}
+	return nil
+}
+
+// apply takes in one entry.
+func (st *State) apply(e Entry) {
+	for name, c := range e.Rigs {
+		if c.Gone {
+			delete(st.Rigs, name)
+			if c.Meta == nil && len(c.Add) == 0 {
+				continue
+			}
+		}
+		r := st.Rigs[name]
+		if r == nil {
+			r = &Rig{}
+			st.Rigs[name] = r
+		}
+		if c.Meta != nil {
+			m := *c.Meta
+			m.Attempts, m.Jobs = r.Attempts, r.Jobs
+			*r = m
+		}
+		r.remove(c.Del)
+		for _, a := range c.Add {
+			r.remove([]Attempt{a})
+			r.Attempts = append(r.Attempts, a)
+		}
+		for id, j := range c.Jobs {
+			if r.Jobs == nil {
+				r.Jobs = make(map[string]Job)
+			}
+			r.Jobs[id] = j
+		}
+	}
+	for job, list := range e.Done {
+		st.Done[job] = append(st.Done[job], list...)
+	}
+}
+
+func (r *Rig) remove(gone []Attempt) {
+	for _, g := range gone {
+		kept := r.Attempts[:0:0]
+		for _, a := range r.Attempts {
+			if a.Piece != g.Piece || a.Try != g.Try {
+				kept = append(kept, a)
+			}
+		}
+		r.Attempts = kept
+	}
+}
--- /dev/null
+++ b/internal/leader/wal/writer.go
@@ -0,0 +1,449 @@
+package wal
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/tuning"
+)
+
+// Limits are the state service's.
+type Limits struct {
+	ValueBytes int
+	Ops        int
+}
+
+// Extra is a change of other keys that goes with a transaction.
+type Extra struct {
+	When   []ledger.Cond
+	Writes []ledger.Write
+	// Stood is called once the transaction is known to stand; Clash when it
+	// will never be carried out because of this part, Again when it will not
+	// because of another: this one must be asked for anew.
+	Stood func(epoch uint64)
+	Clash func()
+	Again func()
+}
+
+// Source gives the checkpoint its contents, each as it is when its part is
+// written. It must include whatever may be on machines.
+type Source interface {
+	// Rig is a machine's record; ok is false for one that is gone.
+	Rig(name string) (r Rig, ok bool)
+	// Done are a job's completed tasks.
+	Done(job string) []Done
+}
+
+// Writer turns changes into transactions, one at a time.
+type Writer struct {
+	term  uint64
+	lim   Limits
+	head  Head
+	stamp uint64
+	turn  uint64
+
+	changes map[string]*change
+	order   []string
+	done    map[string][]int
+	jobs    []string // of done, in order
+	doneFns []func()
+	flight  *Txn
+	check   *checkpoint
+}
+
+type change struct {
+	Change
+	stood []func()
+	// addFns are called for their attempts once these stand.
+	addFns map[Attempt]func()
+}
+
+type checkpoint struct {
+	area  string
+	from  uint64
+	parts int
+	rigs  []string
+	jobs  []string
+	src   Source
+	// first is the next run of jobs[0] to write.
+	first int
+	ready bool
+	over  func()
+}
+
+// Txn is one transaction. It is sent with the same contents until its fate is
+// known.
+type Txn struct {
+	When   []ledger.Cond
+	Writes []ledger.Write
+
+	extras []Extra
+	values []ledger.Write
+	head   Head
+	stood  []func()
+	check  *checkpoint // advanced by this transaction
+	last   bool        // it completes the checkpoint
+	parts  int
+	// Unsure is set once a try had no answer: it may be carried out yet.
+	Unsure bool
+}
+
+// NewWriter goes on behind the head that was read, with its revision.
+func NewWriter(term uint64, lim Limits, head Head, stamp uint64) *Writer {
+	return &Writer{term: term, lim: lim, head: head, stamp: stamp,
+		changes: make(map[string]*change), done: make(map[string][]int)}
+}
+
+func (w *Writer) change(rig string) *change {
+	c := w.changes[rig]
+	if c == nil {
+		c = &change{}
+		w.changes[rig] = c
+		w.order = append(w.order, rig)
+	}
+	return c
+}
+
+// Add records that an attempt may be on a machine from now on.
+func (w *Writer) Add(rig string, a Attempt, id string, j Job, stood func()) {
+	c := w.change(rig)
+	c.Add = append(c.Add, a)
+	if c.Jobs == nil {
+		c.Jobs = make(map[string]Job)
+	}
+	c.Jobs[id] = j
+	if stood != nil {
+		if c.addFns == nil {
+			c.addFns = make(map[Attempt]func())
+		}
+		c.addFns[a] = stood
+	}
+}
+
+// Del records that an attempt is proven to be off its machine.
+func (w *Writer) Del(rig string, a Attempt) {
+	c := w.change(rig)
+	for i, b := range c.Add {
+		if b == a {
+			// Never logged. A checkpoint may hold it already; a later term
+			// then finds it absent from its machine.
+			c.Add = append(c.Add[:i:i], c.Add[i+1:]...)
+			delete(c.addFns, a)
+			return
+		}
+	}
+	c.Del = append(c.Del, a)
+}
+
+// Meta records a machine's other data.
+func (w *Writer) Meta(rig string, r Rig, stood func()) {
+	r.Attempts, r.Jobs = nil, nil
+	c := w.change(rig)
+	c.Meta = &r
+	if stood != nil {
+		c.stood = append(c.stood, stood)
+	}
+}
+
+// Gone records that a machine is no more.
+func (w *Writer) Gone(rig string) {
+	c := w.change(rig)
+	c.Change = Change{Gone: true}
+	c.stood, c.addFns = nil, nil
+}
+
+// Done records completed tasks of a job.
+func (w *Writer) Done(job string, tasks []int, stood func()) {
+	if w.done[job] == nil {
+		w.jobs = append(w.jobs, job)
+	}
+	w.done[job] = append(w.done[job], tasks...)
+	if stood != nil {
+		w.doneFns = append(w.doneFns, stood)
+	}
+}
+
+// Pending tells whether changes wait to be written.
+func (w *Writer) Pending() bool { return w.flight != nil || len(w.changes) > 0 || len(w.done) > 0 }
+
+// InFlight tells whether a transaction is frozen and its fate not known.
+func (w *Writer) InFlight() bool { return w.flight != nil }
+
+// Backlog is the number of entries that a takeover would have to read.
+func (w *Writer) Backlog() int { return int(w.head.Next - w.head.From) }
+
+// Checkpointing tells whether a checkpoint is being written.
+func (w *Writer) Checkpointing() bool { return w.check != nil }
+
+// Checkpoint begins to write the whole state anew; over is called once it
+// counts.
+func (w *Writer) Checkpoint(rigs, jobs []string, src Source, over func()) {
+	if w.check != nil {
+		return
+	}
+	area := "a"
+	if w.head.Area == "a" {
+		area = "b"
+	}
+	// Entries written from now on may tell of things that the parts hold
+	// already; reading them again on top changes nothing.
+	from := w.head.Next
+	if w.flight != nil {
+		from = w.flight.head.Next
+	}
+	w.check = &checkpoint{area: area, from: from, rigs: rigs, jobs: jobs, src: src, over: over}
+}
+
+// Next freezes a transaction of what is pending, with the extras in front.
+// It returns nil if there is nothing to write. While a transaction is under
+// way it returns that one again.
+func (w *Writer) Next(extras []Extra) *Txn {
+	if w.flight != nil {
+		return w.flight
+	}
+	t := &Txn{extras: extras, head: w.head}
+	ops, size := 1, 0
+	for _, e := range extras {
+		ops += len(e.Writes)
+		for _, x := range e.Writes {
+			size += len(x.V) + 200
+		}
+	}
+	// The ring must never run into the entries that still count.
+	for ops < w.lim.Ops && size < tuning.TxnBytes && w.Backlog()+len(t.values) < tuning.LogRing-tuning.LogSlack {
+		v, stood := w.take(t.head.Next)
+		if v == nil {
+			break
+		}
+		t.values = append(t.values, ledger.Write{Set: ringKey(t.head.Next), V: v})
+		t.stood = append(t.stood, stood...)
+		t.head.Next++
+		ops++
+		size += len(v)
+	}
+	if c := w.check; c != nil {
+		many := 1
+		if w.Backlog() > tuning.LogRing/2 {
+			many = 4
+		}
+		for i := 0; i < many && ops < w.lim.Ops && size < tuning.TxnBytes && !c.ready; i++ {
+			v := c.next(w.lim.ValueBytes)
+			if v == nil {
+				c.ready = true
+				break
+			}
+			t.values = append(t.values, ledger.Write{Set: partKey(c.area, c.parts), V: v})
+			c.parts++
+			t.parts++
+			ops++
+			size += len(v)
+		}
+		if c.ready || c.empty() {
+			t.head.From, t.head.Area, t.head.Parts = c.from, c.area, c.parts
+			t.check, t.last = c, true
+		}
+	}
+	if len(t.extras) == 0 && len(t.values) == 0 && !t.last {
+		return nil
+	}
+	w.turn++
+	t.head.Term, t.head.Turn = w.term, w.turn
+	w.seal(t)
+	w.flight = t
+	return t
+}
+
+func (w *Writer) seal(t *Txn) {
+	raw, _ := json.Marshal(t.head) // plain fields always encode
+	t.When = []ledger.Cond{{K: HeadKey, Stamp: w.stamp}}
+	t.Writes = []ledger.Write{{Set: HeadKey, V: raw}}
+	for _, e := range t.extras {
+		t.When = append(t.When, e.When...)
+		t.Writes = append(t.Writes, e.Writes...)
+	}
+	t.Writes = append(t.Writes, t.values...)
+}
+
+// take packs pending changes into one value.
+func (w *Writer) take(seq uint64) (json.RawMessage, []func()) {
+	if len(w.order) == 0 && len(w.jobs) == 0 {
+		return nil, nil
+	}
+	room := w.lim.ValueBytes - 64
+	type entry struct {
+		Seq  uint64                     `json:"s"`
+		Rigs map[string]json.RawMessage `json:"r,omitempty"`
+		Done map[string][]int           `json:"d,omitempty"`
+	}
+	e := entry{Seq: seq, Rigs: make(map[string]json.RawMessage), Done: make(map[string][]int)}
+	var stood []func()
+	n := 0
+	for _, name := range w.order {
+		c := w.changes[name]
+		raw, _ := json.Marshal(c.Change) // plain fields always encode
+		if len(raw)+len(name)+4 > room && len(e.Rigs) > 0 {
+			break
+		}
+		n++
+		delete(w.changes, name)
+		if string(raw) == "{}" {
+			continue // all of it was taken back
+		}
+		room -= len(raw) + len(name) + 4
+		e.Rigs[name] = raw
+		stood = append(stood, c.stood...)
+		for _, f := range c.addFns {
+			stood = append(stood, f)
+		}
+	}
+	w.order = w.order[n:]
+	if len(w.order) > 0 {
+		return marshal(e), stood
+	}
+	// Completions come last: a task's exit and its completion stand together,
+	// or the exit alone for a moment, which only delays its `forget`.
+	n = 0
+	for _, job := range w.jobs {
+		list := w.done[job]
+		most := (room - len(job) - 8) / 7
+		if most < 1 {
+			break
+		}
+		if len(list) > most {
+			e.Done[job] = list[:most:most]
+			w.done[job] = list[most:]
+			room = 0
+			break
+		}
+		e.Done[job] = list
+		room -= len(job) + 8 + 7*len(list)
+		delete(w.done, job)
+		n++
+	}
+	w.jobs = w.jobs[n:]
+	if len(w.jobs) == 0 {
+		stood = append(stood, w.doneFns...)
+		w.doneFns = nil
+	}
+	if len(e.Rigs) == 0 && len(e.Done) == 0 {
+		return nil, nil
+	}
+	return marshal(e), stood
+}
+
+func marshal(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("wal: %v", err)) // only plain values are ever given
+	}
+	return raw
+}
+
+func (c *checkpoint) empty() bool { return len(c.rigs) == 0 && len(c.jobs) == 0 }
+
+// next makes the next part; nil when there is none.
+func (c *checkpoint) next(limit int) json.RawMessage {
+	room := limit - 64
+	type body struct {
+		Rigs map[string]json.RawMessage `json:"r,omitempty"`
+		Done map[string][]Done          `json:"d,omitempty"`
+	}
+	p := body{Rigs: make(map[string]json.RawMessage), Done: make(map[string][]Done)}
+	for len(c.rigs) > 0 {
+		r, ok := c.src.Rig(c.rigs[0])
+		if ok {
+			raw := marshal(r)
+			if len(raw)+64 > limit {
+				r.Images, r.Holds = nil, nil // hints
+				raw = marshal(r)
+			}
+			if len(raw)+len(c.rigs[0])+4 > room && len(p.Rigs) > 0 {
+				return marshal(p)
+			}
+			p.Rigs[c.rigs[0]] = raw
+			room -= len(raw) + len(c.rigs[0]) + 4
+		}
+		c.rigs = c.rigs[1:]
+	}
+	for len(c.jobs) > 0 {
+		runs := c.src.Done(c.jobs[0])
+		for c.first < len(runs) {
+			d := runs[c.first]
+			need := len(d.Bits)*4/3 + len(c.jobs[0]) + 40
+			if need > room && len(p.Rigs)+len(p.Done) > 0 {
+				return marshal(p)
+			}
+			p.Done[c.jobs[0]] = append(p.Done[c.jobs[0]], d)
+			room -= need
+			c.first++
+		}
+		c.jobs, c.first = c.jobs[1:], 0
+	}
+	if len(p.Rigs)+len(p.Done) == 0 {
+		return nil
+	}
+	return marshal(p)
+}
+
+// Unknown notes that a try of the transaction had no answer.
+func (w *Writer) Unknown() {
+	if w.flight != nil {
+		w.flight.Unsure = true
+	}
+}
+
+// Stood takes in that the transaction was carried out at this revision.
+func (w *Writer) Stood(epoch uint64) {
+	t := w.flight
+	w.flight = nil
+	w.head, w.stamp = t.head, epoch
+	if t.last {
+		w.check = nil
+		if t.check.over != nil {
+			t.check.over()
+		}
+	}
+	for _, f := range t.stood {
+		f()
+	}
+	for _, e := range t.extras {
+		if e.Stood != nil {
+			e.Stood(epoch)
+		}
+	}
+}
+
+// Ours tells whether a head that was read is the one of the transaction under
+// way, which then was carried out.
+func (w *Writer) Ours(h Head) bool {
+	return w.flight != nil && h.Term == w.flight.head.Term && h.Turn == w.flight.head.Turn
+}
+
+// Clashed takes in that the transaction was refused for conditions of its
+// extras. These never come to hold again, so no copy of it can be carried out
+// later. The rest goes on without the extras.
+func (w *Writer) Clashed(failed func(key string) bool) {
+	t := w.flight
+	extras := t.extras
+	t.extras, t.Unsure = nil, false
+	if len(t.values) == 0 && !t.last {
+		w.flight = nil
+	} else {
+		w.turn++
+		t.head.Turn = w.turn
+		w.seal(t)
+	}
+	for _, e := range extras {
+		hit := false
+		for _, c := range e.When {
+			hit = hit || failed(c.K)
+		}
+		switch {
+		case hit && e.Clash != nil:
+			e.Clash()
+		case !hit && e.Again != nil:
+			e.Again()
+		}
+	}
+}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"thornnotch/internal/tuning"
@@ -80,6 +81,44 @@
 	base   string
 	http   *http.Client
 	Budget *Budget
+	health health
+}
+
+// health follows whether the service answers this node.
+type health struct {
+	mu      sync.Mutex
+	answers time.Time // the last useful answer
+	failing time.Time // the first failure since; zero while there is none
+}
+
+func (h *health) note(ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	switch {
+	case ok:
+		h.answers, h.failing = now, time.Time{}
+	case h.failing.IsZero():
+		h.failing = now
+	}
+}
+
+// Answers tells when the service last answered this node usefully.
+func (c *Client) Answers() time.Time {
+	c.health.mu.Lock()
+	defer c.health.mu.Unlock()
+	return c.health.answers
+}
+
+// Failing tells for how long the service has not answered this node usefully;
+// 0 while it does.
+func (c *Client) Failing() time.Duration {
+	c.health.mu.Lock()
+	defer c.health.mu.Unlock()
+	if c.health.failing.IsZero() {
+		return 0
+	}
+	return time.Since(c.health.failing)
 }
 
 // New makes a client of the service at addr, reached through dial.
@@ -99,6 +138,16 @@
 // call sends one request and decodes a 200 into out. Other statuses come
 // back as they are.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) (int, []byte, error) {
+	status, raw, err := c.send(ctx, timeout, method, path, in, out)
+	// What the caller gave up itself, and a refusal for too many calls, say
+	// nothing of the service.
+	if ctx.Err() == nil && status != http.StatusTooManyRequests {
+		c.health.note(err == nil)
+	}
+	return status, raw, err
+}
+
+func (c *Client) send(ctx context.Context, timeout time.Duration, method, path string, in, out any) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var body io.Reader
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -13,19 +13,42 @@
 	"thornnotch/internal/tuning"
 )
 
-// ProgressArgs asks how far a job is.
-type ProgressArgs struct{ Job string }
+// ProgressArgs asks how far jobs are.
+type ProgressArgs struct{ Jobs []string }
 
-// ProgressReply is the answer; Known is false if this node does not lead or
-// does not know the job.
-type ProgressReply struct {
-	Done, Running int
-	Known         bool
+// Count is how far one job is.
+type Count struct{ Done, Running int }
+
+// ProgressReply is the answer. Jobs that this node does not know are left out;
+// one that does not lead knows none.
+type ProgressReply struct{ Jobs map[string]Count }
+
+// HealthArgs asks whether the state service answers a node.
+type HealthArgs struct{}
+
+// HealthReply is the answer.
+type HealthReply struct{ OK bool }
+
+// RelayArgs is a user's request that a node can't serve itself.
+type RelayArgs struct {
+	Method, Path string
+	Body         []byte
+}
+
+// RelayReply is what the user is answered.
+type RelayReply struct {
+	Status     int
+	RetryAfter string
+	Body       []byte
 }
 
 // Source answers for the local node.
 type Source interface {
-	Progress(ctx context.Context, job string) (done, running int, ok bool)
+	// Healthy tells whether the state service answers this node.
+	Healthy() bool
+	// Relay serves a user's request that came in at another node.
+	Relay(ctx context.Context, req RelayArgs) RelayReply
+	Progress(ctx context.Context, jobs []string) map[string]Count
 	// Status is the node's own state, as JSON.
 	Status(ctx context.Context) ([]byte, error)
 }
@@ -43,7 +66,21 @@
 func (s *service) Progress(args ProgressArgs, reply *ProgressReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.MeshTimeout)
 	defer cancel()
-	reply.Done, reply.Running, reply.Known = s.src.Progress(ctx, args.Job)
+	reply.Jobs = s.src.Progress(ctx, args.Jobs)
+	return nil
+}
+
+// Health answers another node.
+func (s *service) Health(_ HealthArgs, reply *HealthReply) error {
+	reply.OK = s.src.Healthy()
+	return nil
+}
+
+// Relay answers another node.
+func (s *service) Relay(args RelayArgs, reply *RelayReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), tuning.RelayTimeout)
+	defer cancel()
+	*reply = s.src.Relay(ctx, args)
 	return nil
 }
 
@@ -150,8 +187,8 @@
 
 // call runs one call with a bound on its time. A connection that fails or is
 // late is dropped.
-func (p *Peers) call(ctx context.Context, label, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, tuning.MeshTimeout)
+func (p *Peers) call(ctx context.Context, limit time.Duration, label, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	c, err := p.client(ctx, label)
 	if err != nil {
@@ -170,20 +207,38 @@
 	}
 }
 
-// Progress asks a node how far a job is.
-func (p *Peers) Progress(ctx context.Context, label, job string) (ProgressReply, error) {
+// Progress asks a node how far jobs are.
+func (p *Peers) Progress(ctx context.Context, label string, jobs []string) (map[string]Count, error) {
 	reply := new(ProgressReply)
-	if err := p.call(ctx, label, "Mesh.Progress", ProgressArgs{job}, reply); err != nil {
-		return ProgressReply{}, err
+	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Progress", ProgressArgs{jobs}, reply); err != nil {
+		return nil, err
 	}
-	return *reply, nil
+	return reply.Jobs, nil
 }
 
 // Status asks a node for its state.
 func (p *Peers) Status(ctx context.Context, label string) ([]byte, error) {
 	reply := new(StatusReply)
-	if err := p.call(ctx, label, "Mesh.Status", StatusArgs{}, reply); err != nil {
+	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Status", StatusArgs{}, reply); err != nil {
 		return nil, err
 	}
 	return reply.JSON, nil
 }
+
+// Health asks a node whether the state service answers it.
+func (p *Peers) Health(ctx context.Context, label string) (bool, error) {
+	reply := new(HealthReply)
+	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Health", HealthArgs{}, reply); err != nil {
+		return false, err
+	}
+	return reply.OK, nil
+}
+
+// Relay has a node serve a user's request.
+func (p *Peers) Relay(ctx context.Context, label string, req RelayArgs) (RelayReply, error) {
+	reply := new(RelayReply)
+	if err := p.call(ctx, tuning.RelayTimeout, label, "Mesh.Relay", req, reply); err != nil {
+		return RelayReply{}, err
+	}
+	return *reply, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,11 @@
 	peers   *mesh.Peers
 	catalog atomic.Pointer[market.Catalog]
 	leading atomic.Pointer[leader.Leader]
+	// helpers are nodes that the state service answers while it does not
+	// answer this one; lonely is set when no other node answers either.
+	helpers atomic.Pointer[[]string]
+	lonely  atomic.Bool
+	users   http.Handler
 }
 
 // New makes a node from its settings.
@@ -99,12 +104,17 @@
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	users, err := intake.NewServer(n.store, n.set.Params.Teams, func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
+	users, err := intake.NewServer(n.store, n.set.Params.Teams, n.set.Params.State.TxnOps, func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
 	if err != nil {
 		return err
 	}
+	own := http.NewServeMux()
+	users.Register(own)
+	n.users = own
 	mux := http.NewServeMux()
-	users.Register(mux)
+	for _, path := range []string{"/work", "/work/", "/ready"} {
+		mux.HandleFunc(path, n.serveUser)
+	}
 	mux.HandleFunc("POST /hello", n.hello)
 	n.registerOperators(mux)
 
@@ -140,6 +150,9 @@
 	})
 	group.Go(func() error { return mesh.Serve(ctx, meshListen, n) })
 	group.Go(func() error { return n.keepCatalog(ctx) })
+	group.Go(func() error { return n.watchHealth(ctx) })
+	group.Go(func() error { return users.Mirror(ctx) })
+	group.Go(func() error { return users.Polls(ctx) })
 	group.Go(func() error { return n.elector.Run(ctx, n.lead) })
 	err = group.Wait()
 	if errors.Is(err, context.Canceled) {
@@ -165,33 +178,39 @@
 
 // ready tells whether users may be sent here. It does not follow the state
 // service's outages: they hit all nodes alike, and a node that is taken out
-// is brought back only slowly.
-func (n *Node) ready() bool { return n.catalog.Load() != nil }
+// is brought back only slowly. Only a node that reaches neither the state
+// service nor any other node sends users elsewhere.
+func (n *Node) ready() bool { return n.catalog.Load() != nil && !n.lonely.Load() }
 
-// Progress tells how far a job is if this node leads.
-func (n *Node) Progress(ctx context.Context, id string) (done, running int, ok bool) {
-	if l := n.leading.Load(); l != nil {
-		return l.Progress(ctx, id)
+// Progress tells how far jobs are if this node leads.
+func (n *Node) Progress(ctx context.Context, jobs []string) map[string]mesh.Count {
+	l := n.leading.Load()
+	if l == nil {
+		return nil
+	}
+	out := make(map[string]mesh.Count, len(jobs))
+	for id, p := range l.Progress(ctx, jobs) {
+		out[id] = mesh.Count(p)
 	}
-	return 0, 0, false
+	return out
 }
 
 // progress asks whoever leads.
-func (n *Node) progress(ctx context.Context, id string) (done, running int, ok bool) {
+func (n *Node) progress(ctx context.Context, jobs []string) map[string]intake.Tasks {
+	var counts map[string]mesh.Count
 	if n.leading.Load() != nil {
-		ctx, cancel := context.WithTimeout(ctx, tuning.MeshTimeout)
-		defer cancel()
-		return n.Progress(ctx, id)
-	}
-	label, _ := n.elector.Leader()
-	if label == "" || label == n.set.Label {
-		return 0, 0, false
+		counts = n.Progress(ctx, jobs)
+	} else if label, _ := n.elector.Leader(); label != "" && label != n.set.Label {
+		var err error
+		if counts, err = n.peers.Progress(ctx, label, jobs); err != nil {
+			return nil
+		}
 	}
-	r, err := n.peers.Progress(ctx, label, id)
-	if err != nil {
-		return 0, 0, false
+	out := make(map[string]intake.Tasks, len(counts))
+	for id, c := range counts {
+		out[id] = intake.Tasks(c)
 	}
-	return r.Done, r.Running, r.Known
+	return out
 }
 
 // hello answers workers: the leader gives orders, the others name it.
--- /dev/null
+++ b/internal/node/rules_test.go
@@ -0,0 +1,325 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+)
+
+// The rules that were added for all deployments, each on a whole site of
+// stand-ins in fake time.
+
+// trouble runs a site with a leader and some jobs under way, lets act do its
+// worst, and then demands what is always demanded: every job that was accepted
+// and not cancelled is answered by every node within 75 s of the end of the
+// troubles and ends as done, and no rule is broken.
+func trouble(t *testing.T, prepare func(*site), act func(s *site, add func(*intake.Job))) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSite(t, ctx)
+		if prepare != nil {
+			prepare(s)
+		}
+		defer s.wait.Wait()
+		defer cancel()
+		defer s.state.Close()
+		for i := range 3 {
+			s.start(i)
+		}
+		s.until(10*time.Second, "a leader", func() bool { return s.leader() != "" })
+		s.until(10*time.Second, "readiness", func() bool { c, _ := s.call(0, "GET", "/ready", nil); return c == http.StatusOK })
+		var ids []string
+		add := func(j *intake.Job) {
+			t.Helper()
+			s.until(60*time.Second, "acceptance of "+j.NameID, func() bool {
+				for n := range 3 {
+					if c := s.submit(n, j); c == http.StatusCreated || c == http.StatusOK {
+						return true
+					}
+				}
+				return false
+			})
+			ids = append(ids, j.NameID)
+		}
+		for n := range 5 {
+			add(testJob(n, []string{"a", "b"}[n%2], []string{intake.Sweep, intake.Sweep, intake.Gang}[n%3], 3))
+		}
+		s.until(60*time.Second, "running", func() bool { return s.status(0, ids[0]) == intake.Running })
+		act(s, add)
+		healed := time.Now()
+		for i := range 3 {
+			for _, id := range ids {
+				s.until(75*time.Second-time.Since(healed), fmt.Sprintf("an answer for %s at node %d", id, i), func() bool {
+					st := s.status(i, id)
+					return st == intake.Pending || st == intake.Running || st == intake.Done || st == intake.Aborted
+				})
+			}
+		}
+		for _, id := range ids {
+			s.until(4*time.Minute, id+" over", func() bool { st := s.status(0, id); return st == intake.Done || st == intake.Aborted })
+		}
+		s.judge.mu.Lock()
+		defer s.judge.mu.Unlock()
+		for _, b := range s.judge.broken {
+			t.Errorf("rule broken: %s", b)
+		}
+	})
+}
+
+// on names a machine that runs something, as the judge sees it.
+func (s *site) on() string {
+	s.judge.mu.Lock()
+	defer s.judge.mu.Unlock()
+	least := ""
+	for _, rig := range s.judge.on {
+		if least == "" || rig < least {
+			least = rig
+		}
+	}
+	return least
+}
+
+func (s *site) worker(name string) interface{ SetDeaf(bool) } {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[name]
+}
+
+// TestOneWayCut: machines whose reports arrive but that answers and commands
+// do not reach. Their tasks end elsewhere without a task on two machines, even
+// while the cut lasts, and new work does not wait for them.
+func TestOneWayCut(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		name := s.on()
+		s.worker(name).SetDeaf(true)
+		for n := 20; n < 24; n++ {
+			add(testJob(n, "a", intake.Sweep, 3))
+		}
+		// While the machine is cut off all along, every job is done in time.
+		for n := 20; n < 24; n++ {
+			id := fmt.Sprintf("j-%06d", n)
+			s.until(110*time.Second, id+" although a machine is deaf", func() bool { return s.status(1, id) == intake.Done })
+		}
+		s.worker(name).SetDeaf(false)
+	})
+}
+
+// TestLateCopiesOfReports: copies of every report come seconds, half a lease
+// and two leases late, also over a takeover.
+func TestLateCopiesOfReports(t *testing.T) {
+	trouble(t, func(s *site) { s.copies = []time.Duration{3 * time.Second, 7 * time.Second, 26 * time.Second} },
+		func(s *site, add func(*intake.Job)) {
+			time.Sleep(10 * time.Second)
+			lead := s.leader()
+			s.kill(lead)
+			s.until(10*time.Second, "a new leader", func() bool { l := s.leader(); return l != "" && l != lead })
+			add(testJob(30, "a", intake.Gang, 3))
+			s.start(int(lead[4] - '0'))
+			for n := 31; n < 35; n++ {
+				add(testJob(n, "b", intake.Sweep, 4))
+			}
+			time.Sleep(30 * time.Second)
+		})
+}
+
+// isolate cuts a node off from the state service and the other nodes, both
+// ways; workers and users reach it as before.
+func (s *site) isolate(label string) {
+	for other, p := range s.nodes {
+		if other == label {
+			addrs := []string{"state:1"}
+			for i := range 3 {
+				if fmt.Sprint("rig-", i) != label {
+					addrs = append(addrs, fmt.Sprintf("node-%d:81", i))
+				}
+			}
+			p.host.Cut(addrs...)
+		} else {
+			p.host.Cut("node-" + label[4:] + ":81")
+		}
+	}
+}
+
+func (s *site) heal() {
+	for _, p := range s.nodes {
+		p.host.Heal()
+	}
+}
+
+// TestLeaderKeepsOnlyItsWorkers: a leader loses the state service and the
+// other nodes but not its workers. Another leads, workers come under the new
+// token, a job cancelled meanwhile is gone in time, and the cut-off node sends
+// users elsewhere.
+func TestLeaderKeepsOnlyItsWorkers(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		victim := testJob(40, "b", intake.Sweep, 3)
+		victim.ExpectS = 400
+		add(victim)
+		s.until(60*time.Second, "the victim running", func() bool { return s.status(0, victim.NameID) == intake.Running })
+		lead := s.leader()
+		old := s.nodes[lead]
+		s.isolate(lead)
+		s.until(15*time.Second, "another leader", func() bool {
+			for label, p := range s.nodes {
+				if label != lead && p.node.leading.Load() != nil {
+					return true
+				}
+			}
+			return false
+		})
+		other := (int(lead[4]-'0') + 1) % 3
+		s.until(5*time.Second, "the cancellation", func() bool {
+			c, _ := s.call(other, "POST", "/work/"+victim.NameID+"/cancel", nil)
+			return c == http.StatusOK
+		})
+		cancelled := time.Now()
+		if c, _ := s.call(int(lead[4]-'0'), "GET", "/ready", nil); c != http.StatusServiceUnavailable {
+			t.Errorf("the cut-off node says that it is ready: %d", c)
+		}
+		add(testJob(41, "a", intake.Sweep, 3))
+		time.Sleep(37*time.Second - time.Since(cancelled))
+		s.judge.mu.Lock()
+		for task := range s.judge.on {
+			if task.Job == victim.NameID {
+				t.Errorf("ran_cancelled: %v", task)
+			}
+		}
+		s.judge.mu.Unlock()
+		if old.node.leading.Load() != nil {
+			t.Errorf("the cut-off node still leads")
+		}
+		s.heal()
+	})
+}
+
+// TestRefusedByTheStateServiceAlone: one node gets no answer from the state
+// service while the others do; users that come to it are served all the same.
+func TestRefusedByTheStateServiceAlone(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		trouble(t, nil, func(s *site, add func(*intake.Job)) {
+			who := s.leader()
+			if !leads {
+				who = fmt.Sprint("rig-", (int(who[4]-'0')+1)%3)
+			}
+			i := int(who[4] - '0')
+			s.nodes[who].host.Cut("state:1")
+			time.Sleep(6 * time.Second) // another leads by now, if need be
+			for n := 50; n < 53; n++ {
+				if c := s.submit(i, testJob(n, "a", intake.Sweep, 2)); c != http.StatusCreated {
+					t.Errorf("leads %v: a submission got %d", leads, c)
+				}
+				add(testJob(n, "a", intake.Sweep, 2))
+			}
+			if st := s.status(i, "j-000050"); st != intake.Pending && st != intake.Running {
+				t.Errorf("leads %v: a poll got %s", leads, st)
+			}
+			time.Sleep(20 * time.Second)
+			s.heal()
+		})
+	}
+}
+
+// TestNodesRefuseOneAnother disturbs nothing: the same node leads, and users
+// are answered everywhere.
+func TestNodesRefuseOneAnother(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		lead := s.leader()
+		for label := range s.nodes {
+			var addrs []string
+			for i := range 3 {
+				addrs = append(addrs, fmt.Sprintf("node-%d:81", i))
+			}
+			s.nodes[label].host.Cut(addrs...)
+		}
+		for n := 60; n < 63; n++ {
+			if c := s.submit(n%3, testJob(n, "a", intake.Sweep, 2)); c != http.StatusCreated {
+				t.Errorf("a submission got %d", c)
+			}
+			add(testJob(n, "a", intake.Sweep, 2))
+		}
+		time.Sleep(20 * time.Second)
+		for i := range 3 {
+			if c, _ := s.call(i, "GET", "/ready", nil); c != http.StatusOK {
+				t.Errorf("node %d is not ready: %d", i, c)
+			}
+		}
+		if s.leader() != lead {
+			t.Errorf("the lead went from %s to %s", lead, s.leader())
+		}
+		s.heal()
+	})
+}
+
+// TestBackAtOnce: processes that are back a fraction of a second after their
+// end, also in the middle of the election that it causes and of the takeover.
+func TestBackAtOnce(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		again := func(label string, after time.Duration) {
+			s.kill(label)
+			time.Sleep(after)
+			s.start(int(label[4] - '0'))
+		}
+		for i, after := range []time.Duration{100, 300, 900, 50, 2600} {
+			lead := s.leader()
+			if lead == "" {
+				lead = fmt.Sprint("rig-", i%3)
+			}
+			again(lead, after*time.Millisecond)
+			add(testJob(70+i, "a", intake.Sweep, 2))
+			// The next one falls into the election or the takeover.
+			time.Sleep(time.Duration(i) * 700 * time.Millisecond)
+		}
+		for _, label := range []string{"rig-0", "rig-1", "rig-2"} {
+			again(label, 200*time.Millisecond)
+		}
+		add(testJob(80, "b", intake.Gang, 2))
+	})
+}
+
+// TestRepeatedRequests: repeats of requests that were carried out, at any node
+// and at any later time, change nothing.
+func TestRepeatedRequests(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		j := testJob(90, "a", intake.Sweep, 2)
+		add(j)
+		for i := range 3 {
+			if c := s.submit(i, j); c != http.StatusOK {
+				t.Errorf("node %d: a repeated submission got %d", i, c)
+			}
+		}
+		s.until(2*time.Minute, "done", func() bool { return s.status(0, j.NameID) == intake.Done })
+		s.kill(s.leader())
+		time.Sleep(5 * time.Second)
+		for i := range 3 {
+			if s.nodes[fmt.Sprint("rig-", i)] == nil {
+				s.start(i)
+			}
+		}
+		s.until(20*time.Second, "readiness", func() bool { c, _ := s.call(0, "GET", "/ready", nil); return c == http.StatusOK })
+		for i := range 3 {
+			s.until(10*time.Second, "the repeat", func() bool { return s.submit(i, j) == http.StatusOK })
+			c, st := s.call(i, "POST", "/work/"+j.NameID+"/cancel", nil)
+			if c != http.StatusOK || st.Status != intake.Done {
+				t.Errorf("node %d: a late cancellation got %d %s", i, c, st.Status)
+			}
+			if got := s.status(i, j.NameID); got != intake.Done {
+				t.Errorf("node %d: went_back: done is now %s", i, got)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		s.judge.mu.Lock()
+		defer s.judge.mu.Unlock()
+		for i := range j.Pieces {
+			if n := s.judge.done[fleet.TaskID{Job: j.NameID, Index: i}]; n != 1 {
+				t.Errorf("task %d ran %d times", i, n)
+			}
+		}
+	})
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -1,29 +1,56 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"container/heap"
+	"slices"
+	"strings"
 	"time"
 
 	"thornnotch/internal/tuning"
 )
 
-// Decide runs one pass over the world.
+// Decide runs one pass over the world. It changes the views of machines that
+// it puts work on or stops work on; these must be made anew for the next pass.
 func Decide(w *World) *Plan {
-	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room)}
-	sort.Slice(w.Rigs, func(i, j int) bool { return w.Rigs[i].Name < w.Rigs[j].Name })
+	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room),
+		able: make(map[standing]int)}
+	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
+	if !slices.IsSortedFunc(w.Rigs, byName) {
+		slices.SortFunc(w.Rigs, byName)
+	}
+	leanest := p.leanest()
 	for i, r := range w.Rigs {
-		r.rank = i
+		r.rank, r.claimed = i, nil
+		r.sum()
 		if r.Open && !r.Spot && len(r.Slots) == 0 {
 			p.whole++
 		}
+		if r.Open && r.Seats > 0 && r.Total.Sub(r.used).Fits(leanest) {
+			p.roomy = append(p.roomy, r)
+		}
 		for _, s := range r.Slots {
-			r.used = r.used.Add(s.Room)
-			if s.Ending && s.Job != nil {
+			switch {
+			case s.Job == nil:
+			case s.Ending:
 				p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
+			default:
+				p.able[standing{s.Job.Priority, s.Job.Guaranteed, s.Job.Spec.Owner}]++
 			}
 		}
+		for _, h := range r.Held {
+			p.held[h.Pipeline] = append(p.held[h.Pipeline], h.Room)
+		}
 	}
-	sort.Slice(w.Jobs, func(i, j int) bool { return Before(w.Jobs[i], w.Jobs[j]) })
+	slices.SortFunc(w.Jobs, func(a, b *Job) int {
+		switch {
+		case Before(a, b):
+			return -1
+		case Before(b, a):
+			return 1
+		}
+		return 0
+	})
 	p.keepClaims()
 	for _, j := range w.Jobs {
 		if j.Blocked || len(j.Waiting) == 0 || w.Teams[j.Spec.Owner] == nil {
@@ -38,6 +65,13 @@
 	return p.plan
 }
 
+// standing is what decides whether a task may be stopped.
+type standing struct {
+	priority   int
+	guaranteed bool
+	owner      string
+}
+
 type pass struct {
 	*World
 	plan *Plan
@@ -45,6 +79,30 @@
 	whole int
 	// ending is what this pass has told each team's tasks to give up.
 	ending map[string]Room
+	// roomy are the machines that can take any task at all: when most are
+	// full, no job need look at all of them.
+	roomy []*Rig
+	// held is the room held for each pipeline, able the tasks that run, by
+	// standing.
+	held map[Pipeline][]Room
+	able map[standing]int
+	// tries counts the jobs that room was sought for.
+	tries int
+	// claims are the machines kept from the last pass.
+	claims map[*Job][]*Rig
+	cands  candidates
+}
+
+// leanest is the least that any waiting task takes of each kind.
+func (p *pass) leanest() (least Room) {
+	for i, j := range p.Jobs {
+		n := Need(j.Spec)
+		if i == 0 {
+			least = n
+		}
+		least = Room{min(least.VCPUs, n.VCPUs), min(least.GPUs, n.GPUs), min(least.RAM, n.RAM)}
+	}
+	return least
 }
 
 // blocks tells whether held room is closed to a job: it is open to its own
@@ -102,7 +160,7 @@
 }
 
 func (p *pass) usable(j *Job, r *Rig) bool {
-	return r.Open && r.Seats > 0 && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || outranks(j, r.claimed))
+	return r.Open && r.Seats > 0 && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || !r.claimed.Overdue && outranks(j, r.claimed))
 }
 
 // outranks tells whether a job stands above another whatever the time.
@@ -114,17 +172,22 @@
 // for a gang must not be filled again by the small tasks of whichever job has
 // less time left at the moment, or it never comes to be empty.
 func (p *pass) keepClaims() {
-	byName := make(map[string]*Rig, len(p.Rigs))
-	for _, r := range p.Rigs {
-		byName[r.Name] = r
+	p.claims = make(map[*Job][]*Rig)
+	byName := func(name string) *Rig {
+		at, ok := slices.BinarySearchFunc(p.Rigs, name, func(r *Rig, name string) int { return strings.Compare(r.Name, name) })
+		if !ok {
+			return nil
+		}
+		return p.Rigs[at]
 	}
 	for _, j := range p.Jobs {
 		if j.Spec.Shape != "gang" || len(j.Waiting) == 0 || j.Blocked {
 			continue
 		}
 		for name := range j.Claims {
-			if r := byName[name]; r != nil && r.claimed == nil && r.Open {
+			if r := byName(name); r != nil && r.claimed == nil && r.Open {
 				r.claimed = j
+				p.claims[j] = append(p.claims[j], r)
 			}
 		}
 	}
@@ -179,6 +242,9 @@
 			// The task takes the place of its hold, which counted already.
 			r.Held = append(append([]Held(nil), r.Held[:i]...), r.Held[i+1:]...)
 			p.Teams[j.Spec.Owner].Used = p.Teams[j.Spec.Owner].Used.Sub(h.Room)
+			if list := p.held[h.Pipeline]; len(list) > 0 {
+				p.held[h.Pipeline] = list[:len(list)-1]
+			}
 			break
 		}
 	}
@@ -222,30 +288,82 @@
 	return !j.Spec.Apart || j.Zones[zone] < ZoneCap(j.Spec)
 }
 
+// candidate is a machine that a sweep's next task could go to.
+type candidate struct {
+	rig   *Rig
+	score float64
+}
+
+// candidates is a heap, the best first.
+type candidates []candidate
+
+func (c candidates) Len() int { return len(c) }
+func (c candidates) Less(i, j int) bool {
+	if c[i].score != c[j].score {
+		return c[i].score < c[j].score
+	}
+	return c[i].rig.rank < c[j].rig.rank
+}
+func (c candidates) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+// Push adds a candidate.
+func (c *candidates) Push(x any) { *c = append(*c, x.(candidate)) }
+
+// Pop takes the last one off.
+func (c *candidates) Pop() any {
+	old := *c
+	x := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return x
+}
+
+// takes tells whether one more task of a sweep may go to the machine.
+func (p *pass) takes(j *Job, r *Rig, need Room) bool {
+	return p.usable(j, r) && zoneAllows(j, r.Zone) && r.free(j).Fits(need) && p.limitAllows(j, r)
+}
+
 func (p *pass) sweep(j *Job) {
 	need := Need(j.Spec)
+	if !p.Teams[j.Spec.Owner].Allows(need) && len(p.held[j.Pipeline()]) == 0 {
+		p.plan.Unmet = append(p.plan.Unmet, j)
+		return
+	}
+	c := p.cands[:0]
+	for _, r := range p.roomy {
+		if p.takes(j, r, need) {
+			c = append(c, candidate{r, p.score(r, j)})
+		}
+	}
+	heap.Init(&c)
 	for i, index := range j.Waiting {
-		var best *Rig
-		var bestScore float64
-		for _, r := range p.Rigs {
-			if !p.usable(j, r) || !zoneAllows(j, r.Zone) || !r.free(j).Fits(need) || !p.limitAllows(j, r) {
+		// A put changes the score of its own machine, and makes whole ones
+		// dearer: what comes to the top is looked at again.
+		for len(c) > 0 {
+			if !p.takes(j, c[0].rig, need) {
+				heap.Pop(&c)
 				continue
 			}
-			if s := p.score(r, j); best == nil || s < bestScore {
-				best, bestScore = r, s
+			if s := p.score(c[0].rig, j); s > c[0].score {
+				c[0].score = s
+				heap.Fix(&c, 0)
+				continue
 			}
+			break
 		}
-		if best == nil {
+		if len(c) == 0 {
 			p.plan.Unmet = append(p.plan.Unmet, j)
 			p.makeRoom(j, len(j.Waiting)-i)
-			return
+			break
 		}
-		p.put(j, index, best)
+		p.put(j, index, c[0].rig)
+		c[0].score = p.score(c[0].rig, j)
+		heap.Fix(&c, 0)
 	}
+	p.cands = c[:0]
 }
 
 func (p *pass) gang(j *Job) {
-	if rigs := p.gangRigs(j, func(r *Rig) Room { return r.free(j) }); rigs != nil {
+	if rigs := p.gangRigs(j); rigs != nil {
 		for i, r := range rigs {
 			p.put(j, j.Waiting[i], r)
 		}
@@ -262,21 +380,17 @@
 	t := p.Teams[j.Spec.Owner]
 	extra := Need(j.Spec).Times(len(j.Waiting))
 	// Its pipeline's own holds give way to the gang.
-	n := len(j.Waiting)
-	for _, r := range p.Rigs {
-		for _, h := range r.Held {
-			if n > 0 && h.Pipeline == j.Pipeline() {
-				extra = extra.Sub(h.Room)
-				n--
-			}
+	for i, room := range p.held[j.Pipeline()] {
+		if i == len(j.Waiting) {
+			break
 		}
+		extra = extra.Sub(room)
 	}
 	return t.Allows(extra)
 }
 
-// gangRigs finds machines for all waiting tasks, or none. room tells what a
-// machine can give to the job.
-func (p *pass) gangRigs(j *Job, room func(*Rig) Room) []*Rig {
+// gangRigs finds machines for all waiting tasks, or none.
+func (p *pass) gangRigs(j *Job) []*Rig {
 	if !p.gangWithinLimit(j) {
 		return nil
 	}
@@ -288,13 +402,16 @@
 	byZone := make(map[string][]seat)
 	var zones []string
 	var all []seat
-	for _, r := range p.Rigs {
+	for _, r := range p.roomy {
 		if !p.usable(j, r) {
 			continue
 		}
-		n := room(r).Count(need, min(len(j.Waiting), r.Seats))
-		for k := 0; k < n; k++ {
-			s := seat{r, p.score(r, j)}
+		n := r.free(j).Count(need, min(len(j.Waiting), r.Seats))
+		if n == 0 {
+			continue
+		}
+		s := seat{r, p.score(r, j)}
+		for range n {
 			if byZone[r.Zone] == nil {
 				zones = append(zones, r.Zone)
 			}
@@ -305,7 +422,7 @@
 	// A gang moves when its last image is there, so a choice of machines is
 	// as good as its worst.
 	pick := func(seats []seat, cap int) ([]*Rig, float64) {
-		sort.SliceStable(seats, func(a, b int) bool { return seats[a].score < seats[b].score })
+		slices.SortStableFunc(seats, func(a, b seat) int { return cmp.Compare(a.score, b.score) })
 		// Tasks that already have their place count too: a gang that lost one
 		// while it waited gets a replacement.
 		per := make(map[string]int)
@@ -374,126 +491,169 @@
 	return t != nil && !t.Guards(t.Used.Sub(p.ending[owner]))
 }
 
+// mayStop tells whether anything runs that the job may stop.
+func (p *pass) mayStop(j *Job) bool {
+	for v, n := range p.able {
+		if n > 0 && (v.priority < j.Priority ||
+			v.priority == j.Priority && j.Guaranteed && !v.guaranteed && v.owner != j.Spec.Owner && p.beyond(v.owner)) {
+			return true
+		}
+	}
+	return false
+}
+
+// option is a machine whose room could be made or kept for a job.
+type option struct {
+	rig    *Rig
+	victim []Slot
+	cost   float64
+	coming int // tasks that fit once what ends has ended
+}
+
 // makeRoom is called for a job that has n tasks without a place. It keeps
 // machines whose room is about to come free from jobs after this one, and
-// stops others' tasks where the rules allow it.
+// stops others' tasks where the rules allow it. Only the first jobs in the
+// queue get this: what they leave is little, and looking costs time.
 func (p *pass) makeRoom(j *Job, n int) {
 	need := Need(j.Spec)
 	gang := j.Spec.Shape == "gang"
-	if !p.Teams[j.Spec.Owner].Allows(need) {
+	mayStop := p.mayStop(j)
+	if !p.Teams[j.Spec.Owner].Allows(need) || !gang && !mayStop {
 		return
 	}
-	type option struct {
-		rig    *Rig
-		victim []Slot
-		cost   float64
-		coming int
+	if p.tries++; p.tries > tuning.RoomTries {
+		return
 	}
-	var options []option
+	oneZone := gang && j.Spec.SamePlace && n > 1
+	best := make(map[string][]option) // the n cheapest, by zone if it matters
+	var zones []string
 	for _, r := range p.Rigs {
 		if !p.usable(j, r) || r.claimed != nil && r.claimed != j || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
 			continue
 		}
-		f := r.free(j)
-		var left time.Duration
-		for _, s := range r.Slots {
-			if s.Ending {
-				f = f.Add(s.Room)
-			}
-		}
-		o := option{rig: r, coming: f.Count(need, n)}
-		if o.coming == 0 {
-			var able []Slot
-			for _, s := range r.Slots {
-				if p.mayEvict(j, s) {
-					able = append(able, s)
-				}
-			}
-			sort.SliceStable(able, func(a, b int) bool {
-				if x, y := able[a].Job.Priority, able[b].Job.Priority; x != y {
-					return x < y
-				}
-				return able[a].Loss < able[b].Loss
-			})
-			g := f
-			var cost time.Duration
-			for _, s := range able {
-				if g.Fits(need) {
-					break
-				}
-				g = g.Add(s.Room)
-				cost += time.Duration(float64(s.Loss) * max(s.Room.GPUs, 1))
-				o.victim = append(o.victim, s)
-			}
-			if g.Fits(need) {
-				o.cost = cost.Seconds() + r.delay(j)*max(need.GPUs, 1)
-				o.coming = g.Count(need, n)
-			} else {
-				o.victim = nil
-				for _, s := range r.Slots {
-					left = max(left, s.Left)
-				}
-				o.cost = 1e6 + left.Seconds() + r.delay(j)
-				if j.Claims[r.Name] {
-					o.cost -= tuning.ClaimKept
-				}
-			}
-		} else {
-			o.cost = r.delay(j)
-		}
-		options = append(options, o)
-	}
-	sort.SliceStable(options, func(a, b int) bool { return options[a].cost < options[b].cost })
-	if gang && j.Spec.SamePlace && n > 1 {
-		// Room is only of use in one zone: take the cheapest that has enough.
-		sums, counts := map[string]float64{}, map[string]int{}
-		for _, o := range options {
-			if counts[o.rig.Zone] < n {
-				sums[o.rig.Zone] += o.cost
-				counts[o.rig.Zone] += max(1, o.coming)
-			}
+		o, ok := p.option(j, r, need, n, mayStop)
+		if !ok || o.coming == 0 && !gang {
+			// A task of a sweep takes any room that comes free; only whole
+			// machines for gangs need keeping.
+			continue
 		}
 		zone := ""
-		for z, c := range counts {
-			if c >= n && (zone == "" || sums[z] < sums[zone] || sums[z] == sums[zone] && z < zone) {
-				zone = z
-			}
+		if oneZone {
+			zone = r.Zone
 		}
-		kept := options[:0]
-		for _, o := range options {
-			if o.rig.Zone == zone {
-				kept = append(kept, o)
+		list := best[zone]
+		if list == nil {
+			zones = append(zones, zone)
+		}
+		at, _ := slices.BinarySearchFunc(list, o, func(a, b option) int {
+			if a.cost > b.cost {
+				return 1
 			}
+			return -1 // equal ones keep the machines' order
+		})
+		if at < n {
+			list = slices.Insert(list, at, o)
+			best[zone] = list[:min(len(list), n)]
 		}
-		options = kept
 	}
-	for _, o := range options {
-		if n <= 0 {
-			if o.rig.claimed == j {
-				o.rig.claimed = nil // a better one has taken its place
+	chosen, least := "", 0.0
+	for _, z := range zones {
+		sum, room := 0.0, 0
+		for _, o := range best[z] {
+			if room >= n {
+				break
 			}
-			continue
+			sum += o.cost
+			room += max(1, o.coming)
 		}
-		if o.coming == 0 && !gang {
-			// A task of a sweep takes any room that comes free; only whole
-			// machines for gangs need keeping.
+		// Room is only of use in one zone: the cheapest that has enough.
+		if oneZone && room < n {
 			continue
 		}
-		for _, s := range o.victim {
-			p.plan.Evicts = append(p.plan.Evicts, Evict{o.rig, s, j})
-			for i := range o.rig.Slots {
-				if o.rig.Slots[i].Try == s.Try && o.rig.Slots[i].Index == s.Index && o.rig.Slots[i].Job == s.Job {
-					o.rig.Slots[i].Ending = true
-				}
-			}
-			// It counts toward the team's limit until it is proven gone; only
-			// what the team runs beyond its guarantee shrinks already.
-			p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
+		if chosen == "" && least == 0 || sum < least {
+			chosen, least = z, sum
+		}
+	}
+	if gang {
+		// Machines that the job no longer waits for are free for others.
+		for _, r := range p.claims[j] {
+			r.claimed = nil
 		}
-		if gang || len(o.victim) > 0 {
-			o.rig.claimed = j
-			p.plan.Claims = append(p.plan.Claims, Claim{j, o.rig})
+	}
+	for _, o := range best[chosen] {
+		if n <= 0 {
+			break
 		}
+		p.prepare(j, o, gang)
 		n -= max(1, o.coming)
 	}
 }
+
+// option weighs one machine for a job that needs room.
+func (p *pass) option(j *Job, r *Rig, need Room, n int, mayStop bool) (option, bool) {
+	f := r.free(j).Add(r.ending)
+	o := option{rig: r, coming: f.Count(need, n)}
+	if o.coming > 0 {
+		o.cost = r.delay(j)
+		return o, true
+	}
+	if mayStop && r.stoppable && (r.lowest < j.Priority || j.Guaranteed) {
+		var able []Slot
+		for _, s := range r.Slots {
+			if p.mayEvict(j, s) {
+				able = append(able, s)
+			}
+		}
+		slices.SortStableFunc(able, func(a, b Slot) int {
+			if a.Job.Priority != b.Job.Priority {
+				return cmp.Compare(a.Job.Priority, b.Job.Priority)
+			}
+			return cmp.Compare(a.Loss, b.Loss)
+		})
+		g := f
+		var cost time.Duration
+		for _, s := range able {
+			if g.Fits(need) {
+				break
+			}
+			g = g.Add(s.Room)
+			cost += time.Duration(float64(s.Loss) * max(s.Room.GPUs, 1))
+			o.victim = append(o.victim, s)
+		}
+		if g.Fits(need) {
+			o.cost = cost.Seconds() + r.delay(j)*max(need.GPUs, 1)
+			o.coming = g.Count(need, n)
+			return o, true
+		}
+		o.victim = nil
+	}
+	if j.Spec.Shape != "gang" {
+		return o, false
+	}
+	o.cost = 1e6 + r.left.Seconds() + r.delay(j)
+	if j.Claims[r.Name] {
+		o.cost -= tuning.ClaimKept
+	}
+	return o, true
+}
+
+// prepare keeps a machine for a job and stops what must go.
+func (p *pass) prepare(j *Job, o option, gang bool) {
+	for _, s := range o.victim {
+		p.plan.Evicts = append(p.plan.Evicts, Evict{o.rig, s, j})
+		for i := range o.rig.Slots {
+			if o.rig.Slots[i].Try == s.Try && o.rig.Slots[i].Index == s.Index && o.rig.Slots[i].Job == s.Job {
+				o.rig.Slots[i].Ending = true
+			}
+		}
+		o.rig.ending = o.rig.ending.Add(s.Room)
+		p.able[standing{s.Job.Priority, s.Job.Guaranteed, s.Job.Spec.Owner}]--
+		// It counts toward the team's limit until it is proven gone; only
+		// what the team runs beyond its guarantee shrinks already.
+		p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
+	}
+	if gang || len(o.victim) > 0 {
+		o.rig.claimed = j
+		p.plan.Claims = append(p.plan.Claims, Claim{j, o.rig})
+	}
+}
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -3,7 +3,9 @@
 package placement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -110,9 +112,35 @@
 	Pull     float64
 	Fetching int
 
-	used    Room
-	claimed *Job // waiting job that this machine is kept for
-	rank    int
+	// What follows from Slots, summed once: a view is shown again in later
+	// passes as long as nothing on the machine has changed.
+	summed    bool
+	used      Room
+	ending    Room          // of it, what was told to stop
+	left      time.Duration // until the last of its tasks is expected to end
+	lowest    int           // least priority of the tasks not told to stop
+	stoppable bool          // whether there are any such
+	claimed   *Job          // waiting job that this machine is kept for
+	rank      int
+}
+
+// sum reckons what follows from the slots.
+func (r *Rig) sum() {
+	if r.summed {
+		return
+	}
+	r.summed = true
+	r.used, r.ending, r.left, r.lowest, r.stoppable = Room{}, Room{}, 0, 0, false
+	for _, s := range r.Slots {
+		r.used = r.used.Add(s.Room)
+		r.left = max(r.left, s.Left)
+		switch {
+		case s.Ending:
+			r.ending = r.ending.Add(s.Room)
+		case s.Job != nil && (!r.stoppable || s.Job.Priority < r.lowest):
+			r.lowest, r.stoppable = s.Job.Priority, true
+		}
+	}
 }
 
 // Job is a job with tasks to start.
@@ -131,6 +159,10 @@
 	// Targets are the latest times after submission at which the job can
 	// start and still meet one aim of its users, in rising order.
 	Targets []time.Duration
+	// Overdue is set for a few of the jobs that have waited longest and are
+	// hard to place: these go first whatever their priority, so that none
+	// waits for ever behind a steady flow of others. It stops nobody's tasks.
+	Overdue bool
 	// Late is set once no target can be met any more; Slack is the time left
 	// until the next one, or else how far back the job stands among the late.
 	Late  bool
@@ -209,10 +241,14 @@
 	Unmet []*Job
 }
 
-// Before orders jobs: priority, then guarantee, then the time left to meet an
+// Before orders jobs: what is overdue, then priority, then guarantee, then the time left to meet an
 // aim, then age.
 func Before(a, b *Job) bool {
 	switch {
+	case a.Overdue != b.Overdue:
+		return a.Overdue
+	case a.Overdue && a.Order != b.Order:
+		return a.Order < b.Order
 	case a.Priority != b.Priority:
 		return a.Priority > b.Priority
 	case a.Guaranteed != b.Guaranteed:
@@ -240,3 +276,26 @@
 		j.Guaranteed = t.Guards(total)
 	}
 }
+
+// MarkOverdue lifts a few gangs over all others: those that have waited
+// longest, of what is hard to place for its size. The users want the largest
+// jobs of a class to begin within some minutes whatever else is queued; being
+// few, the lifted ones take little from the rest.
+func MarkOverdue(unfinished []*Job, now time.Time) {
+	var late []*Job
+	for _, j := range unfinished {
+		j.Overdue = false
+		if j.Spec.Shape == intake.Gang && j.Spec.Pieces > 1 && len(j.Waiting) > 0 && now.Sub(j.Submitted) > tuning.OverdueAfter {
+			late = append(late, j)
+		}
+	}
+	slices.SortFunc(late, func(a, b *Job) int {
+		if a.Spec.Pieces != b.Spec.Pieces {
+			return b.Spec.Pieces - a.Spec.Pieces
+		}
+		return cmp.Compare(a.Order, b.Order)
+	})
+	for _, j := range late[:min(len(late), tuning.OverdueMost)] {
+		j.Overdue = true
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -41,6 +41,8 @@
 	Report, Lease          time.Duration
 	Fetch                  time.Duration // time to fetch any image
 	GangWait               time.Duration
+	// Copies are delays after which copies of every report arrive once more.
+	Copies []time.Duration
 }
 
 type task struct {
@@ -72,7 +74,9 @@
 	tasks   map[fleet.AttemptID]*task
 	images  map[string]bool
 	target  int
+	deaf    bool
 	poke    chan struct{}
+	over    chan struct{} // closed at the end, for copies under way
 }
 
 // Meeting lets the tasks of a gang find one another.
@@ -90,10 +94,18 @@
 // NewWorker makes a machine; Run starts it.
 func NewWorker(opt WorkerOptions, end Endpoint, jobs Jobs, judge Judge, meet *Meeting) *Worker {
 	return &Worker{opt: opt, end: end, jobs: jobs, judge: judge, meet: meet, shift: 1,
-		tasks: make(map[fleet.AttemptID]*task), images: make(map[string]bool), poke: make(chan struct{}, 1),
+		tasks: make(map[fleet.AttemptID]*task), images: make(map[string]bool), poke: make(chan struct{}, 1), over: make(chan struct{}),
 		http: &http.Client{Transport: &http.Transport{DialContext: end.DialContext}}}
 }
 
+// SetDeaf begins or ends a cut of one direction: reports go out, answers and
+// commands do not arrive.
+func (w *Worker) SetDeaf(deaf bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = deaf
+}
+
 // Run works until ctx ends; then all that is on the machine is gone.
 func (w *Worker) Run(ctx context.Context) error {
 	l, err := w.end.Listen("tcp", w.opt.Addr)
@@ -115,6 +127,7 @@
 	w.leased = time.Now()
 	w.mu.Unlock()
 	defer w.http.CloseIdleConnections()
+	defer close(w.over)
 	defer func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -297,9 +310,29 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
+	for _, d := range w.opt.Copies {
+		go func() {
+			t := time.NewTimer(d)
+			defer t.Stop()
+			select {
+			case <-t.C:
+				again, cancel := context.WithTimeout(context.WithoutCancel(ctx), 4*time.Second)
+				defer cancel()
+				w.post(again, addr, rep)
+			case <-w.over:
+			}
+		}()
+	}
 	status, body := w.post(ctx, addr, rep)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.deaf {
+		w.mu.Unlock()
+		<-ctx.Done() // given up without an answer
+		w.mu.Lock()
+		w.target++
+		return
+	}
 	switch status {
 	case http.StatusOK:
 		var a fleet.Answer
@@ -394,6 +427,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.deaf {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		w.mu.Lock()
+		return
+	}
 	status := http.StatusConflict
 	if a.Warrant >= w.warrant && a.Shift == w.shift {
 		status = http.StatusOK
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -27,6 +27,17 @@
 	// LeaseProofMargin is added to lease_s before silence proves that a
 	// worker has killed its tasks; it covers timers that fire late.
 	LeaseProofMargin = 700 * time.Millisecond
+	// UnheardReports is how many reports in a row must show an order not
+	// carried out before the worker is taken for deaf: one answer may be lost.
+	UnheardReports = 2
+	// OrderPatience is how long after its first `run` a task may be missing
+	// from the reports before its machine gets no more work; workers report a
+	// change within half a second, and give an answer up after 4 s.
+	OrderPatience = 5 * time.Second
+	// StopIgnored is how long after a stop a task may still run.
+	StopIgnored = 6 * time.Second
+	// ProbeEvery is the pause between two tries to reach a deaf worker.
+	ProbeEvery = 5 * time.Second
 	// TryBits is the width of the attempt counter below the term in an
 	// attempt number: a million starts a term.
 	TryBits = 20
@@ -74,6 +85,15 @@
 	// PassEvery is the least time between two placement passes: short
 	// against a report interval, long enough to batch a burst of reports.
 	PassEvery = 60 * time.Millisecond
+	// PassRest times the length of the last pass, at most PassEveryMost, is the
+	// least time between two: a quarter of the processor for placement at most.
+	PassRest      = 4
+	PassEveryMost = 1200 * time.Millisecond
+	// ViewAge is how old a machine's view for placement may be: estimates of
+	// the time left change with time alone.
+	ViewAge = 2 * time.Second
+	// ShowsAtOnce is how many workers are shown a new token in one tick.
+	ShowsAtOnce = 24
 	// TickEvery drives time-outs, lapses and renting.
 	TickEvery = 250 * time.Millisecond
 	// AnswerHold is how long a worker's report is kept unanswered so that
@@ -83,9 +103,31 @@
 	// IdleHold is the same for a machine with nothing running, which has
 	// nothing to report. Workers give an answer up after 4 s.
 	IdleHold = 1200 * time.Millisecond
-	// RecordQuiet is how long a machine's record may still list attempts
-	// that are proven gone before it is rewritten for that alone.
-	RecordQuiet = 1500 * time.Millisecond
+	// FlushEvery is the step in which held answers run out.
+	FlushEvery = 25 * time.Millisecond
+	// RecordQuiet is how long the record of a machine's holds and images, which
+	// are hints, may lag.
+	RecordQuiet = 2500 * time.Millisecond
+	// LogRing is the number of keys that log entries go round in. A takeover
+	// reads them all; at a few KiB each that is a few pages.
+	LogRing = 512
+	// LogSlack is kept free in the ring for the entries of one transaction.
+	LogSlack = 8
+	// CheckpointAfter is how many entries a takeover may have to read on top of
+	// the last checkpoint before the next is begun.
+	CheckpointAfter = 96
+	// TxnBytes bounds the values of one transaction; the state service takes
+	// 64 KiB with all names and conditions.
+	TxnBytes = 36 << 10
+	// CommitEvery is the least time between two of the leader's transactions:
+	// each costs a change for the head, so decisions are gathered meanwhile.
+	CommitEvery = 60 * time.Millisecond
+	// CheckpointEvery is the same for one that carries nothing but a part of
+	// a checkpoint: it can wait, and must not use up the tokens.
+	CheckpointEvery = 200 * time.Millisecond
+	// FinalsAtOnce bounds the jobs that one transaction ends, as each may clash
+	// with its user's cancellation.
+	FinalsAtOnce = 4
 	// AttemptBytes is what one attempt with its job takes at most in its
 	// machine's record; the value limit then bounds the attempts on a machine.
 	AttemptBytes = 176
@@ -116,6 +158,9 @@
 	EarlyStop   = 5 * time.Second
 	// ArrivalMemory is how far back the jobs of each class are counted.
 	ArrivalMemory = 5 * time.Minute
+	// LoadEvery is the time between two lines in the log on how much the leader
+	// has to do.
+	LoadEvery = 30 * time.Second
 	// SummaryEvery is the time between two summaries in the debug log.
 	SummaryEvery = 5 * time.Second
 )
@@ -166,6 +211,14 @@
 	// stands; LateRise is how many seconds of age move it up by one.
 	LateStanding = 90 * time.Second
 	LateRise     = 2
+	// OverdueAfter is how long a gang of several tasks waits before it may be
+	// lifted over all others: half of the four minutes within which the users
+	// want the largest jobs to begin, as gathering whole machines takes the
+	// rest. OverdueMost is how many are lifted at once.
+	OverdueAfter = 110 * time.Second
+	OverdueMost  = 4
+	// RoomTries is how many waiting jobs one pass seeks to make room for.
+	RoomTries = 32
 	// WaitingShown bounds how many waiting tasks of a job one pass looks at.
 	WaitingShown = 400
 	// RoundingSlack forgives rounding in sums of decimal amounts.
@@ -226,6 +279,27 @@
 	KeepSpare = 4.0
 )
 
+// Polls.
+const (
+	// AskWindow is how long polls are gathered before one transaction settles
+	// them; users see polls answered a fraction of a second later at the most.
+	AskWindow = 120 * time.Millisecond
+	// AskQueue is how many polls may wait for the next window; more are told to
+	// come back.
+	AskQueue = 512
+	// CondsPerOp times txn_ops is the number of conditions of a transaction
+	// (protocol).
+	CondsPerOp = 4
+	// AskReads bounds the single reads that settle polls whose proof failed,
+	// at once.
+	AskReads = 4
+	// MirrorEvery is the least time between two looks at what changed among the
+	// jobs: it only keeps proofs from failing, so it need not be quick.
+	MirrorEvery = 1 * time.Second
+	// MirrorBlock is how long such a look waits for a change.
+	MirrorBlock = 20 * time.Second
+)
+
 // Serving.
 const (
 	// BodyMax is the largest request body, in bytes (protocol: 64 KiB).
@@ -269,6 +343,17 @@
 	AmountMax = 1e9
 	// ShutdownGrace is how long open requests may take on an orderly end.
 	ShutdownGrace = 3 * time.Second
+	// HealthEvery is the step in which a node that the state service does not
+	// answer asks the others whether it answers them.
+	HealthEvery = 400 * time.Millisecond
+	// HealthFresh is how recent an answer of the state service must be to count.
+	HealthFresh = 3 * time.Second
+	// RelayTimeout bounds a user's request served by another node; users wait
+	// 2 s for a poll.
+	RelayTimeout = 1600 * time.Millisecond
+	// LonelyAfter is how long a node must be cut off from the state service and
+	// from all other nodes before it sends users elsewhere.
+	LonelyAfter = 1500 * time.Millisecond
 	// MeshTimeout bounds a call between nodes.
 	MeshTimeout = 400 * time.Millisecond
 )
