Sockets by need and decision; calls out bounded; a leader that stood still asks first

- Connections for users and workers are all sockets but those that our own calls need, which are bounded together (state service, cloud, direct orders, nodes).
- When they run short users' connections are closed after each answer, then idle ones of users are ended and workers' closed after each answer too.
- Direct orders: 96 under way at most, half of them for stops alone; workers that have been silent for some reports are pressed less often.
- A leader that stood still for 3 s counts its own silence, not the workers', and makes no call to the cloud before the term record has shown that it still leads.
- The first watch after a failure does not wait, so certainty is back at once.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -98,12 +98,18 @@
 	teams       []config.Team
 	book        *reserve.Book
 	tries       uint64
+	commanding  int  // direct orders under way
 	dirty       bool // a placement pass is due
 	lastPass    time.Time
 	lastSummary time.Time
 	committer   committer
 	market      marketState
 	certainty   time.Duration
+	// beat is when the routine last went round. wokeAt is when it last went on
+	// after it had stood still, and unproven is set from then on until the
+	// state service has said that the term still lasts.
+	beat, wokeAt       time.Time
+	unproven, checking bool
 	// finished are jobs that ended here before the watch has told so.
 	finished map[string]bool
 	// ghosts are jobs that are over while attempts of them may still run.
@@ -158,6 +164,8 @@
 	if err != nil {
 		return fmt.Errorf("load: %w", err)
 	}
+	// A process that was frozen while it read may have been deposed meanwhile.
+	l.wokeAt, l.unproven = time.Now(), true
 	group.Go(func() error { return l.follow(ctx, epoch) })
 	group.Go(func() error { return l.loop(ctx) })
 	return group.Wait()
@@ -174,7 +182,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case f := <-l.calls:
-			began = time.Now()
+			began = l.goesOn()
 			l.counts.Calls += uint64(1 + len(l.calls))
 			f()
 			// Take what else has come in before the costly part.
@@ -182,11 +190,11 @@
 				(<-l.calls)()
 			}
 		case <-tick.C:
-			began = time.Now()
+			began = l.goesOn()
 			l.tick(began)
 			l.logLoad(began)
 		case <-alarm.C:
-			began = time.Now()
+			began = l.goesOn()
 		}
 		now := time.Now()
 		if l.dirty && !now.Before(l.passDue()) {
@@ -203,6 +211,45 @@
 	return l.ended
 }
 
+// goesOn notes that the routine is at work, and whether it has stood still
+// before: the process may be frozen for half a minute while its clocks run on.
+// Then all machines seem silent, as their reports wait in our own sockets, and
+// another node may lead. What is written is conditioned on the term; calls to
+// the cloud are not, so they wait until the term has been looked at.
+func (l *Leader) goesOn() time.Time {
+	now := time.Now()
+	if gap := now.Sub(l.beat); !l.beat.IsZero() && gap > tuning.StallAfter {
+		l.d.Log.Info("stood still", "for_s", gap.Seconds(), "term", l.grant.Term)
+		l.wokeAt, l.unproven = now, true
+	}
+	l.beat = now
+	return now
+}
+
+// prove asks whether the term still lasts.
+func (l *Leader) prove() {
+	if l.checking {
+		return
+	}
+	l.checking = true
+	woke := l.wokeAt
+	l.tasks.Go(func() error {
+		row, found, err := l.d.Store.Get(l.ctx, ledger.Lease, term.NumberKey)
+		l.do(l.ctx, func() {
+			l.checking = false
+			switch {
+			case err != nil:
+				// The next tick asks again.
+			case !found || row.Stamp != l.grant.Stamp:
+				l.end(errDeposed)
+			case woke.Equal(l.wokeAt):
+				l.unproven = false
+			}
+		})
+		return nil
+	})
+}
+
 // passDue is when the next placement pass may run. A pass that takes long is
 // followed by a longer pause: reports and records must not wait for passes.
 func (l *Leader) passDue() time.Time {
@@ -328,9 +375,16 @@
 
 // follow learns of submissions and cancellations.
 func (l *Leader) follow(ctx context.Context, epoch uint64) error {
+	block := tuning.WatchBlock
 	for ctx.Err() == nil {
 		asked := time.Now()
-		next, log, err := l.d.Store.Follow(ctx, intake.OpenPrefix, epoch, tuning.WatchBlock)
+		next, log, err := l.d.Store.Follow(ctx, intake.OpenPrefix, epoch, block)
+		// After an outage certainty must come back at once, before workers have
+		// to be sent away: the first watch does not wait for a change.
+		block = tuning.WatchBlock
+		if err != nil {
+			block = 0
+		}
 		switch {
 		case errors.Is(err, ledger.ErrCompacted):
 			return fmt.Errorf("jobs must be read again: %w", err)
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"time"
 
+	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
 	"thornnotch/internal/leader/wal"
@@ -241,12 +242,18 @@
 	return &placement.Rig{Name: r.m.Name, Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
 }
 
-// press sends stops and news of the token straight to a worker, so that they
-// need not wait for its next report.
+// press sends stops straight to a worker, so that they need not wait for its
+// next report. One that has not been heard for a while is most likely cut off:
+// orders to it hang until their time is over, and a whole dark zone's would
+// take the sockets and the places that the others' stops need.
 func (l *Leader) press(r *rig, now time.Time) {
+	again := tuning.StopResend
+	if l.silent(r, now) > l.quiet() {
+		again = tuning.StopResendSilent
+	}
 	due := false
 	for _, a := range r.m.Attempts {
-		if a.Halt && a.Status != fleet.Exited && (a.Sent || a.Inherited) && now.Sub(a.Pressed) >= tuning.StopResend {
+		if a.Halt && a.Status != fleet.Exited && (a.Sent || a.Inherited) && now.Sub(a.Pressed) >= again {
 			due = true
 		}
 	}
@@ -259,21 +266,41 @@
 			orders = append(orders, o)
 		}
 	}
+	if !l.command(r, orders, now) {
+		return // the next tick tries again
+	}
 	for _, a := range r.m.Attempts {
 		if a.Halt {
 			a.Pressed = now
 		}
 	}
-	l.command(r, orders, now)
+}
+
+// quiet is how long a worker may well be silent: a few of its reports.
+func (l *Leader) quiet() time.Duration {
+	return time.Duration(tuning.QuietReports * float64(config.Seconds(l.d.Settings.Params.Workers.ReportS)))
 }
 
 // command sends orders to a worker's own address. They may arrive minutes
 // late, so only stops go this way: a late stop names an attempt that is never
 // started again.
-func (l *Leader) command(r *rig, orders []fleet.Order, now time.Time) {
+//
+// So many are under way at once at most, and half of these are for stops
+// alone: a node has few sockets beside those of its workers. It reports false
+// when the order has to wait for others.
+func (l *Leader) command(r *rig, orders []fleet.Order, now time.Time) bool {
 	if r.m.Endpoint == "" || r.m.Shift == 0 || r.calling && len(orders) == 0 {
-		return
+		return true
 	}
+	most := tuning.CommandsAtOnce
+	if len(orders) == 0 {
+		most /= 2
+	}
+	if l.commanding >= most {
+		l.counts.Postponed++
+		return false
+	}
+	l.commanding++
 	r.called = now
 	r.calling = true
 	l.counts.Commands++
@@ -286,17 +313,18 @@
 		rep, err := l.d.Workers.Command(l.ctx, endpoint, a)
 		if err != nil || rep == nil {
 			l.d.Log.Debug("direct order failed", "rig", r.m.Name, "err", err)
-			l.do(l.ctx, func() { r.calling = false })
+			l.do(l.ctx, func() { r.calling, l.commanding = false, l.commanding-1 })
 			return nil
 		}
 		l.do(l.ctx, func() {
-			r.calling = false
+			r.calling, l.commanding = false, l.commanding-1
 			if l.rigs[r.m.Name] == r && rep.Rig == r.m.Name {
 				l.observe(r, rep, true, time.Now())
 			}
 		})
 		return nil
 	})
+	return true
 }
 
 // observe takes in a report, by whichever way it came.
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -194,10 +194,12 @@
 	Copies   uint64  `json:"lateCopies"` // late copies of reports
 	Orders   uint64  `json:"orders"`     // sent in answers
 	Commands uint64  `json:"commands"`   // sent directly
-	Commits  uint64  `json:"commits"`
-	CommitS  float64 `json:"commitS"`
-	Calls    uint64  `json:"calls"` // taken by the routine
-	BusyS    float64 `json:"busyS"` // time the routine was at work
+	// Postponed are direct orders that had to wait for others.
+	Postponed uint64  `json:"postponed"`
+	Commits   uint64  `json:"commits"`
+	CommitS   float64 `json:"commitS"`
+	Calls     uint64  `json:"calls"` // taken by the routine
+	BusyS     float64 `json:"busyS"` // time the routine was at work
 }
 
 // logLoad logs once in a while how much the routine had to do since last.
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -85,6 +85,10 @@
 	}
 	l.retireRigs(now)
 	l.giveUpSurplus(now)
+	if l.unproven {
+		l.prove()
+		return
+	}
 	if m.busy || now.Before(m.retryAt) {
 		return
 	}
@@ -105,12 +109,17 @@
 	return max(time.Duration(l.d.Settings.Params.Cloud.ListLagS*float64(time.Second)), 3*time.Second)
 }
 
-// silent is how long nothing has been heard of the machine in this term.
-func (r *rig) silent(now time.Time) time.Duration {
-	if !r.m.Known {
-		return now.Sub(r.since)
+// silent is how long nothing has been heard of the machine in this term, while
+// the leader itself could hear.
+func (l *Leader) silent(r *rig, now time.Time) time.Duration {
+	last := r.since
+	if r.m.Known {
+		last = r.m.Heard
+	}
+	if l.wokeAt.After(last) {
+		last = l.wokeAt
 	}
-	return now.Sub(r.m.Heard)
+	return now.Sub(last)
 }
 
 // darkZones are the zones most of whose machines are silent, or were a short
@@ -125,7 +134,7 @@
 			continue
 		}
 		all[r.m.Zone]++
-		if r.silent(now) > l.lease {
+		if l.silent(r, now) > l.lease {
 			silent[r.m.Zone]++
 		}
 	}
@@ -156,7 +165,7 @@
 			patience = tuning.DarkReturn
 		}
 		switch {
-		case r.silent(now) > l.lease+patience:
+		case l.silent(r, now) > l.lease+patience:
 			why = "silent"
 		case r.faulty() && len(r.m.Attempts) == 0:
 			why = "faulty"
@@ -187,7 +196,7 @@
 			continue
 		}
 		// Tasks that can still save get the time to.
-		silent := now.Sub(r.m.Heard) > l.lease
+		silent := l.silent(r, now) > l.lease
 		if r.m.Known && !silent && l.busy(r) {
 			continue
 		}
@@ -197,7 +206,7 @@
 		typ, _ := l.d.Catalog().Type(b.pool.Type)
 		// A machine of an earlier term that has no record was idle: its worker
 		// needs a moment to turn to this node.
-		if limit := time.Duration(typ.ReadyS * tuning.BootPatience * float64(time.Second)); now.Sub(b.since) > limit && now.Sub(b.noted) > l.lease && l.rigs[name] == nil {
+		if limit := time.Duration(typ.ReadyS * tuning.BootPatience * float64(time.Second)); now.Sub(b.since) > limit && now.Sub(b.noted) > l.lease && now.Sub(l.wokeAt) > l.lease && l.rigs[name] == nil {
 			l.d.Log.Info("machine never came up", "rig", name)
 			names = append(names, name)
 		}
@@ -363,7 +372,7 @@
 	for _, r := range l.rigs {
 		// A silent machine is not counted on: it is replaced before it is
 		// given up.
-		if !r.leaving && !r.faulty() && r.m.Recall.IsZero() && r.silent(now) <= l.lease {
+		if !r.leaving && !r.faulty() && r.m.Recall.IsZero() && l.silent(r, now) <= l.lease {
 			v.Have[r.pool()]++
 		}
 	}
--- a/internal/market/cloud.go
+++ b/internal/market/cloud.go
@@ -110,7 +110,7 @@
 	return &Cloud{
 		base: "http://" + addr,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2, DisableCompression: true,
+			DialContext: dial, MaxConnsPerHost: tuning.CloudConns, MaxIdleConnsPerHost: tuning.CloudIdleConns, DisableCompression: true,
 		}},
 		tokens: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,12 +61,13 @@
 	helpers atomic.Pointer[[]string]
 	lonely  atomic.Bool
 	users   http.Handler
-	sockets sockets
+	sockets *sockets
 }
 
 // New makes a node from its settings.
 func New(set *config.Settings, op config.Operator, network Network, log *slog.Logger) *Node {
-	n := &Node{net: network, set: set, op: op, log: log}
+	n := &Node{net: network, set: set, op: op, log: log,
+		sockets: newSockets(socketLimit(set.Params.Limits.Sockets, len(set.Known)))}
 	n.store = ledger.New(set.Services.State, ledger.NewBudget(n.share(false)), network.DialContext)
 	n.cloud = market.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use, network.DialContext)
 	n.elector = term.New(set.Label, n.store, log)
@@ -125,19 +126,19 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	if lim := n.set.Params.Limits.Sockets; lim > 0 {
-		n.sockets.limit = max(16, int(float64(lim)*tuning.SocketShare))
+	if n.sockets.limit > 0 {
 		listen = netutil.LimitListener(listen, n.sockets.limit)
 	}
 	meshListen, err := n.net.Listen("tcp", n.set.MeshAddr)
 	if err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
+	meshListen = netutil.LimitListener(meshListen, max(1, len(n.set.Known))*tuning.MeshConnsPerNode)
 	srv := &http.Server{
 		Handler: mux, ReadHeaderTimeout: tuning.HeaderTimeout, ReadTimeout: tuning.BodyTimeout,
 		IdleTimeout: tuning.IdleTimeout, MaxHeaderBytes: 16 << 10,
 		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-		ConnState: n.sockets.follow,
+		ConnState: n.sockets.follow, ConnContext: n.sockets.accepted,
 	}
 	n.log.Info("serving", "label", n.set.Label, "site", n.set.Site, "listen", n.set.Listen)
 	group, ctx := errgroup.WithContext(ctx)
@@ -232,7 +233,11 @@
 	if l := n.leading.Load(); l != nil {
 		ctx, cancel := context.WithTimeout(r.Context(), tuning.HelloPatience)
 		defer cancel()
-		if a, ok := l.Hello(ctx, rep); ok && a.Status == http.StatusOK {
+		a, ok := l.Hello(ctx, rep)
+		if n.sockets.worker(r.Context()) {
+			w.Header().Set("Connection", "close")
+		}
+		if ok && a.Status == http.StatusOK {
 			intake.WriteJSON(w, http.StatusOK, a.Answer)
 			return
 		}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -68,7 +68,7 @@
 
 // serveUser serves a user's request, here or where it can be.
 func (n *Node) serveUser(w http.ResponseWriter, r *http.Request) {
-	if n.sockets.scarce() {
+	if n.sockets.user() {
 		w.Header().Set("Connection", "close")
 	}
 	helpers := n.helpers.Load()
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -1,33 +1,144 @@
 package node
 
 import (
+	"container/list"
+	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 
 	"thornnotch/internal/tuning"
 )
 
-// sockets keeps users' connections from using up those that workers need.
-// Workers are as many as there are machines, and each keeps one connection to
-// the leader; users come in any number and keep theirs open. When connections
-// run short, users' are closed after each answer.
+// sockets decides whose connections are kept when they run short. Workers are
+// as many as there are machines, and each keeps one connection to the leader;
+// users come in any number and keep theirs open. A worker that finds no room
+// loses its lease, and with it all its tasks; a user comes again. So users'
+// connections are closed after each answer first; when even that is not enough,
+// idle ones of users are ended, and workers' are closed after each answer too:
+// then only those that have something to say take a socket.
 type sockets struct {
 	limit int // 0: none
-	open  atomic.Int64
+
+	mu    sync.Mutex
+	open  map[net.Conn]*link
+	idle  *list.List // users' connections with no request under way, longest first
+	ended uint64     // connections of users that were ended for want of room
+}
+
+// link is one connection to a user or a worker.
+type link struct {
+	worker bool
+	idle   *list.Element
+}
+
+type linkKey struct{}
+
+// socketLimit is how many connections users and workers may have together: all
+// sockets but those that our own calls need, which are bounded in number.
+func socketLimit(all, known int) int {
+	if all <= 0 {
+		return 0
+	}
+	return max(16, all-min(socketsKept(known), int(float64(all)*tuning.SocketsMostKept)))
+}
+
+// socketsKept is how many sockets the calls of a node with so many others take.
+func socketsKept(known int) int {
+	return tuning.StateConns + tuning.CloudConns + tuning.CommandsAtOnce + known*(1+tuning.MeshConnsPerNode) + tuning.SocketMargin
+}
+
+func newSockets(limit int) *sockets {
+	return &sockets{limit: limit, open: make(map[net.Conn]*link), idle: list.New()}
+}
+
+// accepted gives a new connection's requests a way to say whose it is.
+func (s *sockets) accepted(ctx context.Context, c net.Conn) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.open[c]
+	if l == nil {
+		l = &link{}
+		s.open[c] = l
+	}
+	return context.WithValue(ctx, linkKey{}, l)
 }
 
-// follow counts open connections.
-func (s *sockets) follow(_ net.Conn, state http.ConnState) {
+// follow keeps count of open connections, and ends the longest idle one of a
+// user when a new one takes one of the last places.
+func (s *sockets) follow(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	var end net.Conn
 	switch state {
 	case http.StateNew:
-		s.open.Add(1)
+		if s.open[c] == nil {
+			s.open[c] = &link{}
+		}
+		if s.beyond(tuning.SocketsFull) {
+			end = s.oldest()
+		}
+	case http.StateActive:
+		s.busy(s.open[c])
+	case http.StateIdle:
+		if l := s.open[c]; l != nil && !l.worker {
+			l.idle = s.idle.PushBack(c)
+		}
 	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
+		s.busy(s.open[c])
+		delete(s.open, c)
+	}
+	s.mu.Unlock()
+	if end != nil {
+		// With no request under way nothing is lost by it.
+		_ = end.Close()
+	}
+}
+
+func (s *sockets) busy(l *link) {
+	if l != nil && l.idle != nil {
+		s.idle.Remove(l.idle)
+		l.idle = nil
+	}
+}
+
+// oldest takes the user's connection off the list that has been idle longest.
+func (s *sockets) oldest() net.Conn {
+	e := s.idle.Front()
+	if e == nil {
+		return nil
+	}
+	c := e.Value.(net.Conn)
+	s.busy(s.open[c])
+	s.ended++
+	return c
+}
+
+func (s *sockets) beyond(part float64) bool {
+	return s.limit > 0 && float64(len(s.open)) > part*float64(s.limit)
+}
+
+// user notes a user's request. It tells whether the connection must be closed
+// after the answer.
+func (s *sockets) user() (last bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.beyond(tuning.SocketsScarce)
+}
+
+// worker notes a worker's report, likewise.
+func (s *sockets) worker(ctx context.Context) (last bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := ctx.Value(linkKey{}).(*link); ok {
+		l.worker = true
 	}
+	return s.beyond(tuning.SocketsFull)
 }
 
-// scarce tells whether connections run short.
-func (s *sockets) scarce() bool {
-	return s.limit > 0 && float64(s.open.Load()) > tuning.SocketsScarce*float64(s.limit)
+// count tells how many connections are open, how many may be, and how many
+// were ended for want of room.
+func (s *sockets) count() (open, limit int, ended uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open), s.limit, s.ended
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -142,6 +142,7 @@
 	count("late_copies_total", "Late copies of reports in this term.", float64(w.Copies))
 	count("orders_total", "Orders sent in answers in this term.", float64(w.Orders))
 	count("commands_total", "Direct calls to workers in this term.", float64(w.Commands))
+	count("postponed_commands_total", "Direct orders that had to wait, as too many were under way.", float64(w.Postponed))
 	count("passes_total", "Placement passes in this term.", float64(w.Passes))
 	count("pass_seconds_total", "Time spent in placement passes.", w.PassS)
 	count("commits_total", "Transactions of the log in this term.", float64(w.Commits))
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -98,6 +98,10 @@
 	ShowsAtOnce = 24
 	// TickEvery drives time-outs, lapses and renting.
 	TickEvery = 250 * time.Millisecond
+	// StallAfter is how long the leader's routine, which wakes with every tick,
+	// must have stood still to count its own silence, and not that of others.
+	// Short of processor time it may be late by a second.
+	StallAfter = 3 * time.Second
 	// AnswerHold is how long a worker's report is kept unanswered so that
 	// orders can go with the answer. Workers report changes at most every
 	// half second, so nothing is delayed by it.
@@ -151,6 +155,10 @@
 	StopGrace = 2 * time.Second
 	// StopResend is the pause before a stop order is sent directly again.
 	StopResend = 2 * time.Second
+	// StopResendSilent is the same for a worker that has been silent for more
+	// than QuietReports report intervals: its orders most likely hang.
+	StopResendSilent = 10 * time.Second
+	QuietReports     = 2.5
 	// RestartCost is what a stopped task loses beside its saving: it queues
 	// again and may have to fetch its image anew.
 	RestartCost = 10 * time.Second
@@ -360,12 +368,29 @@
 	CommandTimeout = 2 * time.Second
 	// CatalogRetry is the pause before asking again while no catalog is known.
 	CatalogRetry = 1 * time.Second
-	// SocketShare is the part of the machine's sockets open to users and
-	// workers; the rest is for our own calls.
-	SocketShare = 0.75
-	// SocketsScarce is the part of these beyond which users' connections are
-	// closed after each answer, so that workers find room.
+	// SocketMargin is what is kept of the machine's sockets, beside the bounded
+	// number for calls out, for listeners, the runtime, and connections that are
+	// closed but not gone yet.
+	SocketMargin = 48
+	// SocketsMostKept is the largest part of the sockets that is kept from users
+	// and workers where there are few.
+	SocketsMostKept = 0.25
+	// SocketsScarce is the part of the connections to users and workers beyond
+	// which users' are closed after each answer, so that workers find room;
+	// SocketsFull the part beyond which workers' are too, and users' connections
+	// with nothing to do are ended: whoever comes then always finds room.
 	SocketsScarce = 0.85
+	SocketsFull   = 0.95
+	// CloudConns and CloudIdleConns are the connections kept to the cloud: its
+	// calls are few a second.
+	CloudConns     = 4
+	CloudIdleConns = 2
+	// CommandsAtOnce bounds the direct orders under way: in a cut-off zone each
+	// hangs until its time is over, and every one takes a socket.
+	CommandsAtOnce = 96
+	// MeshConnsPerNode bounds the connections that each other node may have
+	// open here; it needs one, and a new one when one hangs.
+	MeshConnsPerNode = 4
 	// MemoryShare is the part of the machine's memory that the Go runtime is
 	// told to stay within; threads and the binary need the rest.
 	MemoryShare = 0.7
