--- /dev/null
+++ b/internal/leader/stall_test.go
@@ -0,0 +1,162 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/market"
+	"thornnotch/internal/tuning"
+)
+
+// termStore answers for the term record alone, and gives the routine's calls a
+// way to run.
+type termStore struct {
+	noStore
+	stamp uint64
+	err   error
+}
+
+func (s *termStore) Get(context.Context, ledger.Class, string) (ledger.Row, bool, error) {
+	return ledger.Row{Stamp: s.stamp}, s.err == nil, s.err
+}
+
+// cloudCalls counts calls to the cloud.
+type cloudCalls struct{ rents, returns, lists int }
+
+func (c *cloudCalls) Rent(context.Context, market.Request) ([]string, error) {
+	c.rents++
+	return nil, market.ErrNoCapacity
+}
+func (c *cloudCalls) Return(context.Context, []string) error { c.returns++; return nil }
+func (c *cloudCalls) List(context.Context) ([]market.Host, error) {
+	c.lists++
+	return nil, nil
+}
+
+// run carries out what calls to others have handed back.
+func run(l *Leader) {
+	for {
+		select {
+		case f := <-l.calls:
+			f()
+		case <-time.After(20 * time.Millisecond):
+			return
+		}
+	}
+}
+
+// TestStoodStill: a leader whose process stood still for longer than a lease
+// takes its own silence for nobody else's, and deals with the cloud only once
+// the term record has shown that it still leads. Deposed, it ends.
+func TestStoodStill(t *testing.T) {
+	for _, deposed := range []bool{false, true} {
+		t.Run(fmt.Sprint("deposed ", deposed), func(t *testing.T) {
+			t0 := time.Now()
+			l := testLeader(t)
+			offline(t, l)
+			store, cloud := &termStore{err: ledger.ErrUnavailable}, &cloudCalls{}
+			l.d.Store, l.d.Cloud = store, cloud
+			for i := range 6 {
+				addRig(l, fmt.Sprint("m-", i), []string{"east", "west"}[i%2], t0)
+			}
+			l.market.booting["m-9"] = booting{market.Pool{Type: "g4", Zone: "east"}, t0, t0}
+			addJob(t, l, sweep("j-1", 40), t0)
+			// It stood still from a while ago until now.
+			still := l.lease + tuning.SilentReturn + time.Minute
+			l.goesOn()
+			l.beat = time.Now().Add(-still)
+			for _, r := range l.rigs {
+				r.m.Heard = r.m.Heard.Add(-still)
+			}
+			b := l.market.booting["m-9"]
+			b.since, b.noted = b.since.Add(-still), b.noted.Add(-still)
+			l.market.booting["m-9"] = b
+			now := l.goesOn()
+			if !l.unproven {
+				t.Fatal("that it stood still was not seen")
+			}
+			l.trade(now)
+			run(l)
+			if *cloud != (cloudCalls{}) {
+				t.Errorf("the cloud was called before the term was looked at: %+v", *cloud)
+			}
+			for name, r := range l.rigs {
+				if r.leaving {
+					t.Errorf("%s is given up for silence that was ours", name)
+				}
+			}
+			if v := l.marketView(now); v.Have[market.Pool{Type: "g4", Zone: "east"}] != 4 {
+				t.Errorf("machines are to be replaced for silence that was ours: %v", v.Have)
+			}
+			store.err, store.stamp = nil, l.grant.Stamp
+			if deposed {
+				store.stamp++
+			}
+			l.trade(now)
+			run(l)
+			if (l.ended != nil) != deposed {
+				t.Fatalf("ended: %v", l.ended)
+			}
+			if l.unproven != deposed {
+				t.Fatalf("unproven: %v", l.unproven)
+			}
+			if names := l.returns(now); len(names) > 0 {
+				t.Errorf("%v returned as if they had had their time to come up", names)
+			}
+			if deposed {
+				return
+			}
+			l.trade(now)
+			run(l)
+			if cloud.lists+cloud.rents == 0 {
+				t.Errorf("it never deals with the cloud again")
+			}
+		})
+	}
+}
+
+// TestDirectOrdersAreBounded: in a dark zone every direct order hangs. They
+// must not take more sockets than are kept for them, and stops find places
+// that news of the token leaves free.
+func TestDirectOrdersAreBounded(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	offline(t, l)
+	hang := make(chan struct{})
+	l.d.Workers = hanging(hang)
+	for i := range 400 {
+		r := addRig(l, fmt.Sprintf("m-%04d", i), "east", now)
+		r.m.Endpoint = "x"
+		l.command(r, nil, now)
+	}
+	if l.commanding != tuning.CommandsAtOnce/2 {
+		t.Errorf("%d orders under way that stop nothing", l.commanding)
+	}
+	addJob(t, l, sweep("j-1", 16), now)
+	l.pass(now)
+	settle(l, 100)
+	for _, r := range l.rigs {
+		r.m.Orders(true, now)
+	}
+	l.jobGone("j-1", now)
+	stops := l.commanding - tuning.CommandsAtOnce/2
+	if stops < 4 {
+		t.Errorf("%d stops found a place", stops)
+	}
+	close(hang)
+	run(l)
+	if l.commanding != 0 {
+		t.Errorf("%d places never came free", l.commanding)
+	}
+}
+
+type hanging chan struct{}
+
+func (h hanging) Command(context.Context, string, fleet.Answer) (*fleet.Report, error) {
+	<-h
+	return nil, ledger.ErrUnknown
+}
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+)
+
+// TestFleetOutlivesItsNodes puts 2,100 workers on five nodes with 2,500 sockets
+// each, which is less than what workers and idle users ask for, and ends all
+// nodes at once. It guards against an incident: the listener's share was
+// smaller than the number of workers, so the last ones could not report and
+// their leases ran out. Afterwards every task must be known again on the
+// machine where it runs, none be started twice or lost, and users be answered.
+func TestFleetOutlivesItsNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		lay := small()
+		lay.nodes, lay.machines, lay.step = 5, 2100, time.Second
+		lay.params = config.Params{Teams: []config.Team{{Name: "a", GPUs: 4000, GPUsMax: 8400}},
+			Workers: config.Workers{ReportS: 6, LeaseS: 31, GangWaitS: 50, GangPeerS: 4, CancelS: 51},
+			State:   config.State{RPS: 180, WriteRPS: 70, ValueKB: 8, TxnOps: 32}, Cloud: config.Cloud{RPS: 5, ListLagS: 5},
+			Limits: config.Limits{Sockets: 2500}}
+		s := newSiteOf(t, ctx, lay)
+		defer s.wait.Wait()
+		defer cancel()
+		defer s.state.Close()
+		s.cloud.Fill(lay.machines)
+		for i := range lay.nodes {
+			s.start(i)
+		}
+		s.until(10*time.Second, "a leader", func() bool { return s.leader() != "" })
+		s.until(10*time.Second, "readiness", func() bool { c, _ := s.call(0, "GET", "/ready", nil); return c == http.StatusOK })
+		// As many users as there are sockets beside the workers keep theirs open.
+		for i := range 500 {
+			host := s.net.Host()
+			user := &http.Client{Transport: &http.Transport{DialContext: host.DialContext}, Timeout: 2 * time.Second}
+			s.wait.Go(func() {
+				defer host.Kill()
+				for ctx.Err() == nil {
+					if label := s.leader(); label != "" {
+						if resp, err := user.Get(fmt.Sprintf("http://node-%c:80/ready", label[4])); err == nil {
+							resp.Body.Close()
+						}
+					}
+					wait := time.NewTimer(5*time.Second + time.Duration(i)*time.Millisecond)
+					select {
+					case <-ctx.Done():
+						wait.Stop()
+					case <-wait.C:
+					}
+				}
+			})
+		}
+		const jobs = 70 // two tasks fill a machine, so all machines are needed
+		for n := range jobs {
+			j := testJob(n, "a", intake.Sweep, 60)
+			j.ExpectS, j.VCPUs, j.Accelerators = 400, 12, 2
+			s.until(30*time.Second, "acceptance of "+j.NameID, func() bool {
+				c := s.submit(n%lay.nodes, j)
+				return c == http.StatusCreated || c == http.StatusOK
+			})
+		}
+		running := func() map[fleet.TaskID]string {
+			s.judge.mu.Lock()
+			defer s.judge.mu.Unlock()
+			out := make(map[fleet.TaskID]string, len(s.judge.on))
+			for task, rig := range s.judge.on {
+				out[task] = rig
+			}
+			return out
+		}
+		heard := func() int {
+			l := s.leader()
+			if l == "" {
+				return 0
+			}
+			st, ok := s.nodes[l].node.leading.Load().Status(ctx)
+			n := 0
+			for _, m := range st.Machines {
+				n += m.Up
+			}
+			if !ok {
+				return 0
+			}
+			return n
+		}
+		s.until(2*time.Minute, "all tasks running", func() bool { return len(running()) == jobs*60 })
+		s.until(time.Minute, "all workers heard", func() bool { return heard() == lay.machines })
+		before := running()
+		for label := range s.nodes {
+			s.kill(label)
+		}
+		time.Sleep(6 * time.Second)
+		for i := range lay.nodes {
+			s.start(i)
+		}
+		s.until(20*time.Second, "all workers heard again", func() bool { return heard() == lay.machines })
+		for n := range jobs {
+			id := fmt.Sprintf("j-%06d", n)
+			s.until(10*time.Second, "an answer for "+id, func() bool { return s.status(n%lay.nodes, id) == intake.Running })
+		}
+		time.Sleep(40 * time.Second) // longer than any lease
+		after := running()
+		if len(after) != len(before) {
+			t.Errorf("%d tasks ran before, %d now", len(before), len(after))
+		}
+		for task, rig := range before {
+			if after[task] != rig {
+				t.Errorf("%v ran on %s, now on %q", task, rig, after[task])
+			}
+		}
+		s.judge.mu.Lock()
+		defer s.judge.mu.Unlock()
+		for _, b := range s.judge.broken {
+			t.Errorf("rule broken: %s", b)
+		}
+	})
+}
+
+// TestFrozenLeader: the leader stands still for longer than its term while its
+// clocks run on; another leads. When it goes on, what waited in its sockets and
+// its own plans change nothing that they may not.
+func TestFrozenLeader(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		old := s.leader()
+		p := s.nodes[old]
+		goOn := p.host.Freeze()
+		s.until(15*time.Second, "another leader", func() bool {
+			for label, q := range s.nodes {
+				if label != old && q.node.leading.Load() != nil {
+					return true
+				}
+			}
+			return false
+		})
+		delete(s.nodes, old) // not asked while it stands still
+		at := time.Now()
+		for s.answers(old, 20) {
+			time.Sleep(time.Second)
+		}
+		time.Sleep(max(0, 37*time.Second-time.Since(at)))
+		hosts := s.cloud.Hosts()
+		goOn()
+		s.nodes[old] = p
+		s.until(10*time.Second, "the old leader to see that it leads no more", func() bool { return p.node.leading.Load() == nil })
+		if n := s.cloud.Hosts(); n > hosts+2 {
+			t.Errorf("it rented for machines that only it had not heard: %d, then %d", hosts, n)
+		}
+		add(testJob(20, "a", intake.Sweep, 3))
+	})
+}
+
+// answers tells whether a node answers users; a frozen one does not.
+func (s *site) answers(label string, n int) bool {
+	return s.status(int(label[4]-'0'), fmt.Sprintf("j-%06d", n)) != "0"
+}
+
+// TestHangingMachines: machines stand still for longer than their lease while
+// their tasks start elsewhere, and then go on. No task runs twice.
+func TestHangingMachines(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		s.judge.mu.Lock()
+		names := map[string]bool{}
+		for _, rig := range s.judge.on {
+			names[rig] = true
+		}
+		s.judge.mu.Unlock()
+		hang := func(on bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for name := range names {
+				s.workers[name].SetHang(on)
+			}
+		}
+		hang(true)
+		add(testJob(20, "b", intake.Gang, 3))
+		time.Sleep(16 * time.Second) // lease 12 s
+		hang(false)
+		time.Sleep(3 * time.Second)
+		hang(true) // and for less than a lease
+		time.Sleep(7 * time.Second)
+		hang(false)
+	})
+}
+
+// TestManyMachinesDie: half of all machines end at once with all that is on
+// them. What ran there runs elsewhere, and the dead are replaced and returned.
+func TestManyMachinesDie(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		s.judge.mu.Lock()
+		names := map[string]bool{}
+		for _, rig := range s.judge.on {
+			names[rig] = true
+		}
+		s.judge.mu.Unlock()
+		if len(names) < 2 {
+			s.t.Fatalf("only %d machines at work", len(names))
+		}
+		for name := range names {
+			s.cloud.Die(name)
+		}
+		for n := range 3 {
+			add(testJob(20+n, "a", intake.Sweep, 3))
+		}
+	})
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -83,8 +83,23 @@
 	}
 }
 
-// site is a whole deployment of stand-ins and three nodes, in fake time.
+// layout is how large a site is, and its settings.
+type layout struct {
+	nodes, machines int // machines: as many as the cloud has
+	params          config.Params
+	step            time.Duration // of the workers
+}
+
+// small is three nodes and ten machines.
+func small() layout {
+	return layout{nodes: 3, machines: 10, params: config.Params{Teams: []config.Team{{Name: "a", GPUs: 8, GPUsMax: 12}, {Name: "b", GPUs: 4, GPUsMax: 8}},
+		Workers: config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 8, CancelS: 37},
+		State:   config.State{RPS: 150, WriteRPS: 50, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 2, ListLagS: 5}}}
+}
+
+// site is a whole deployment of stand-ins and some nodes, in fake time.
 type site struct {
+	layout
 	t     *testing.T
 	net   *standin.Network
 	state *standin.State
@@ -125,12 +140,17 @@
 
 var zones = []string{"east", "west", "north"}
 
-func newSite(t *testing.T, ctx context.Context) *site {
-	s := &site{t: t, net: standin.NewNetwork(), state: standin.NewState(), nodes: make(map[string]*process), ctx: ctx,
+func newSite(t *testing.T, ctx context.Context) *site { return newSiteOf(t, ctx, small()) }
+
+func newSiteOf(t *testing.T, ctx context.Context, lay layout) *site {
+	s := &site{layout: lay, t: t, net: standin.NewNetwork(), state: standin.NewState(), nodes: make(map[string]*process), ctx: ctx,
 		workers: make(map[string]*standin.Worker), places: make(map[string]place),
 		judge: &judge{on: map[fleet.TaskID]string{}, gpus: map[string]float64{}, zones: map[string]map[string]int{},
-			limits: map[string]float64{"a": 12, "b": 8}, done: map[fleet.TaskID]int{}, owner: map[string]*intake.Job{}}}
+			limits: map[string]float64{}, done: map[fleet.TaskID]int{}, owner: map[string]*intake.Job{}}}
 	s.placed = placements{slog.NewTextHandler(io.Discard, nil), new(sync.Mutex), make(map[string]int)}
+	for _, team := range lay.params.Teams {
+		s.judge.limits[team.Name] = team.GPUsMax
+	}
 	if testing.Verbose() {
 		s.placed.Handler = slog.NewTextHandler(os.Stderr, nil)
 	}
@@ -139,16 +159,17 @@
 		Rate: 10, MarketPrice: 5, ReadyS: 5, Halls: zones}}}
 	var addrs []string
 	labels := map[string]string{}
-	for i := range 3 {
+	for i := range lay.nodes {
 		addrs = append(addrs, fmt.Sprintf("node-%d:80", i))
 		labels[fmt.Sprintf("rig-%d", i)] = addrs[i]
 	}
-	s.cloud = standin.NewCloud(ctx, cat, 10, func(ctx context.Context, h market.Host) {
+	w := lay.params.Workers
+	s.cloud = standin.NewCloud(ctx, cat, lay.machines, func(ctx context.Context, h market.Host) {
 		host := s.net.Host()
 		defer host.Kill()
 		w := standin.NewWorker(standin.WorkerOptions{Name: h.NameID, Addr: h.Endpoint, Type: h.RigType, Zone: h.Hall, Spot: h.Loaners,
-			Nodes: addrs, Labels: labels, Report: 2 * time.Second, Lease: 12 * time.Second, Fetch: 3 * time.Second, GangWait: 30 * time.Second,
-			Copies: s.copies}, host, s, s.judge, meet)
+			Nodes: addrs, Labels: labels, Report: config.Seconds(w.ReportS), Lease: config.Seconds(w.LeaseS), Fetch: 3 * time.Second,
+			GangWait: config.Seconds(w.GangWaitS), Copies: s.copies, Step: lay.step}, host, s, s.judge, meet)
 		s.mu.Lock()
 		s.workers[h.NameID] = w
 		s.places[h.NameID] = place{host, h.Endpoint, h.Hall}
@@ -178,17 +199,17 @@
 
 func (s *site) start(i int) {
 	label := fmt.Sprintf("rig-%d", i)
-	set := &config.Settings{Label: label, Site: zones[i], Listen: fmt.Sprintf("node-%d:80", i), MeshAddr: fmt.Sprintf("node-%d:81", i),
+	set := &config.Settings{Label: label, Site: zones[i%len(zones)], Listen: fmt.Sprintf("node-%d:80", i), MeshAddr: fmt.Sprintf("node-%d:81", i),
 		Services: config.Services{Cloud: "cloud:1", State: "state:1"},
-		Params: config.Params{Count: 3, Zones: zones, Teams: []config.Team{{Name: "a", GPUs: 8, GPUsMax: 12}, {Name: "b", GPUs: 4, GPUsMax: 8}},
-			Workers: config.Workers{ReportS: 2, LeaseS: 12, GangWaitS: 30, GangPeerS: 8, CancelS: 37},
-			State:   config.State{RPS: 150, WriteRPS: 50, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 2, ListLagS: 5}}}
-	for k := range 3 {
+		Params:   s.params}
+	set.Params.Count, set.Params.Zones = s.layout.nodes, zones
+	for k := range s.layout.nodes {
 		if k != i {
 			set.Known = append(set.Known, config.Peer{Label: fmt.Sprintf("rig-%d", k), Addr: fmt.Sprintf("node-%d:81", k)})
 		}
 	}
 	host := s.net.Host()
+	host.Limit(s.params.Limits.Sockets)
 	ctx, stop := context.WithCancel(s.ctx)
 	p := &process{host: host, stop: stop, node: New(set, config.DefaultOperator(), host, slog.New(s.placed).With("node", label))}
 	s.nodes[label] = p
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -54,6 +54,40 @@
 	return len(c.hosts)
 }
 
+// Die ends a machine with all that is on it. It is listed as running for a
+// while yet, and then as failed.
+func (c *Cloud) Die(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[name]
+	if h == nil {
+		return
+	}
+	h.stop()
+	go func() {
+		<-h.end
+		t := time.NewTimer(30 * time.Second)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			c.mu.Lock()
+			h.Status = "failed"
+			c.mu.Unlock()
+		case <-c.ctx.Done():
+		}
+	}()
+}
+
+// Fill has so many machines up from the start, in the catalog's zones by turns.
+func (c *Cloud) Fill(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	typ := c.catalog.RigTypes[0]
+	for i := range n {
+		c.add(typ, typ.Halls[i%len(typ.Halls)], i%3 == 0, 0)
+	}
+}
+
 // ServeHTTP answers the cloud's interface.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
@@ -125,29 +159,34 @@
 	}
 	var names []string
 	for range n {
-		name := fmt.Sprintf("m-%06d", c.next)
-		ctx, stop := context.WithCancel(c.ctx)
-		h := &host{Host: market.Host{NameID: name, Endpoint: fmt.Sprintf("127.0.0.1:%d", 21000+c.next), RigType: in.RigType,
-			Hall: in.Hall, Loaners: in.Loaners, Status: "starting"}, since: time.Now(), stop: stop, end: make(chan struct{})}
-		c.next++
-		c.hosts[name] = h
-		names = append(names, name)
-		go func() {
-			defer close(h.end)
-			t := time.NewTimer(time.Duration(typ.ReadyS * float64(time.Second)))
-			defer t.Stop()
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
-			c.mu.Lock()
-			h.Status = "running"
-			info := h.Host
-			c.mu.Unlock()
-			c.boot(ctx, info)
-		}()
+		names = append(names, c.add(typ, in.Hall, in.Loaners, time.Duration(typ.ReadyS*float64(time.Second))))
 	}
 	c.hires[in.Hire] = names
 	reply(w, http.StatusOK, fields{"rigs": names})
 }
+
+// add makes a machine that is up after a while.
+func (c *Cloud) add(typ market.RigType, hall string, spot bool, boots time.Duration) string {
+	name := fmt.Sprintf("m-%06d", c.next)
+	ctx, stop := context.WithCancel(c.ctx)
+	h := &host{Host: market.Host{NameID: name, Endpoint: fmt.Sprintf("127.0.0.1:%d", 21000+c.next), RigType: typ.SKU,
+		Hall: hall, Loaners: spot, Status: "starting"}, since: time.Now(), stop: stop, end: make(chan struct{})}
+	c.next++
+	c.hosts[name] = h
+	go func() {
+		defer close(h.end)
+		t := time.NewTimer(boots)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		c.mu.Lock()
+		h.Status = "running"
+		info := h.Host
+		c.mu.Unlock()
+		c.boot(ctx, info)
+	}()
+	return name
+}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -26,6 +26,9 @@
 	lists []*listener
 	cut   map[string]bool
 	dead  bool
+	limit int           // most connections open at once; 0: any number
+	most  int           // the most that were open
+	still chan struct{} // closed when the host goes on; nil while it does
 }
 
 // Host adds a host.
@@ -98,6 +101,7 @@
 		return nil, errRefused
 	}
 	a, b := net.Pipe()
+	a, b = &end{Conn: a, host: h}, &end{Conn: b, host: l.host}
 	if !h.keep(a, addr) || !l.host.keep(b, "") {
 		a.Close()
 		b.Close()
@@ -117,13 +121,82 @@
 func (h *Host) keep(c net.Conn, addr string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.dead {
+	if h.dead || h.limit > 0 && len(h.conns) >= h.limit {
 		return false
 	}
 	h.conns[c] = addr
+	h.most = max(h.most, len(h.conns))
 	return true
 }
 
+// Limit bounds the connections that the host may have open.
+func (h *Host) Limit(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limit = n
+}
+
+// Most is the greatest number of connections that were open at once.
+func (h *Host) Most() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.most
+}
+
+// Freeze keeps all that the host sends and receives until it goes on, as when
+// its process stands still while its clocks run.
+func (h *Host) Freeze() (goOn func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	still := make(chan struct{})
+	h.still = still
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.still == still {
+			h.still = nil
+			close(still)
+		}
+	}
+}
+
+// stand waits while the host stands still.
+func (h *Host) stand() {
+	h.mu.Lock()
+	still := h.still
+	h.mu.Unlock()
+	if still != nil {
+		<-still
+	}
+}
+
+// end is one host's end of a connection.
+type end struct {
+	net.Conn
+	host *Host
+}
+
+// Read reads what has come in.
+func (e *end) Read(b []byte) (int, error) {
+	n, err := e.Conn.Read(b)
+	e.host.stand()
+	return n, err
+}
+
+// Write sends.
+func (e *end) Write(b []byte) (int, error) {
+	e.host.stand()
+	return e.Conn.Write(b)
+}
+
+// Close ends the connection.
+func (e *end) Close() error {
+	e.host.mu.Lock()
+	delete(e.host.conns, e)
+	e.host.mu.Unlock()
+	return e.Conn.Close()
+}
+
 // Cut resets the host's connections to these addresses and refuses new ones.
 func (h *Host) Cut(addrs ...string) {
 	h.mu.Lock()
@@ -133,7 +206,7 @@
 	}
 	for c, addr := range h.conns {
 		if h.cut[addr] {
-			c.Close()
+			c.(*end).Conn.Close()
 			delete(h.conns, c)
 		}
 	}
@@ -152,7 +225,11 @@
 	h.dead = true
 	lists := h.lists
 	for c := range h.conns {
-		c.Close()
+		c.(*end).Conn.Close()
+	}
+	if h.still != nil {
+		close(h.still)
+		h.still = nil
 	}
 	h.mu.Unlock()
 	for _, l := range lists {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -41,6 +41,8 @@
 	Report, Lease          time.Duration
 	Fetch                  time.Duration // time to fetch any image
 	GangWait               time.Duration
+	// Step is how often the machine looks at its tasks; 0: ten times a second.
+	Step time.Duration
 	// Copies are delays after which copies of every report arrive once more.
 	Copies []time.Duration
 }
@@ -75,6 +77,7 @@
 	images  map[string]bool
 	target  int
 	deaf    bool
+	hangs   bool
 	poke    chan struct{}
 	over    chan struct{} // closed at the end, for copies under way
 }
@@ -106,6 +109,14 @@
 	w.deaf = deaf
 }
 
+// SetHang makes the machine stand still, or go on: meanwhile it runs nothing,
+// says nothing and hears nothing. Its lease runs on.
+func (w *Worker) SetHang(hangs bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hangs = hangs
+}
+
 // Run works until ctx ends; then all that is on the machine is gone.
 func (w *Worker) Run(ctx context.Context) error {
 	l, err := w.end.Listen("tcp", w.opt.Addr)
@@ -133,7 +144,10 @@
 		defer w.mu.Unlock()
 		w.clear()
 	}()
-	step := time.NewTicker(100 * time.Millisecond)
+	if w.opt.Step == 0 {
+		w.opt.Step = 100 * time.Millisecond
+	}
+	step := time.NewTicker(w.opt.Step)
 	defer step.Stop()
 	next := time.Now()
 	answered := make(chan struct{}, 1)
@@ -153,7 +167,10 @@
 			w.advance(time.Now())
 			w.mu.Unlock()
 		}
-		if now := time.Now(); !busy && !now.Before(next) {
+		w.mu.Lock()
+		hangs := w.hangs
+		w.mu.Unlock()
+		if now := time.Now(); !busy && !hangs && !now.Before(next) {
 			busy, next = true, now.Add(w.opt.Report)
 			go func() {
 				w.hello(ctx)
@@ -216,6 +233,15 @@
 		w.leased = now
 		w.changed()
 	}
+	if w.hangs {
+		for _, t := range w.tasks {
+			t.since = t.since.Add(w.opt.Step) // nothing moves on
+		}
+		return
+	}
+	if len(w.tasks) == 0 {
+		return
+	}
 	for _, id := range w.order() {
 		t := w.tasks[id]
 		switch t.status {
@@ -326,7 +352,7 @@
 	status, body := w.post(ctx, addr, rep)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.deaf {
+	if w.deaf || w.hangs {
 		w.mu.Unlock()
 		<-ctx.Done() // given up without an answer
 		w.mu.Lock()
@@ -427,7 +453,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.deaf {
+	if w.deaf || w.hangs {
 		w.mu.Unlock()
 		<-r.Context().Done()
 		w.mu.Lock()
