--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -19,7 +19,7 @@
 func grown(b *testing.B, rigs, jobs int) (*Leader, []*rig) {
 	now := time.Now()
 	l := testLeader(b)
-	l.teams = []config.Team{{Name: "a", GPUs: 1000, GPUsMax: 8000}}
+	l.teams = []config.Team{{Name: "a", GPUs: 1000, GPUsMax: 20000}}
 	l.d.Settings.Params.Teams = l.teams
 	offline(b, l)
 	l.sure = now
@@ -63,6 +63,47 @@
 	}
 }
 
+// BenchmarkChurn is a placement pass with what comes between two: tasks that
+// end on some machines, the record, and starts in their place.
+func BenchmarkChurn(b *testing.B) {
+	l, list := grown(b, 2100, 700)
+	epoch := uint64(1000)
+	b.ResetTimer()
+	for i := range b.N {
+		now := time.Now()
+		for k := range 20 {
+			r := list[(i*20+k*101)%len(list)]
+			rep := report(l, r, fleet.Running, "")
+			for n := range rep.Pieces {
+				if a := r.m.Attempts[attemptID(b, rep.Pieces[n])]; n%3 == 0 && a.ID.Task.Index%50 != 0 && l.jobs[a.ID.Task.Job] != nil && l.jobs[a.ID.Task.Job].spec.Shape != intake.Gang {
+					rep.Pieces[n].Status, rep.Pieces[n].Cause = fleet.Exited, fleet.CauseError
+				}
+			}
+			l.observe(r, rep, false, now)
+			clear(r.errors)
+		}
+		for _, j := range l.jobs {
+			j.notBefore = time.Time{}
+			clear(j.avoid)
+		}
+		epoch = settle(l, epoch)
+		l.pass(now)
+		epoch = settle(l, epoch)
+		for k := range 20 {
+			r := list[(i*20+k*101)%len(list)]
+			r.m.Orders(true, now)
+		}
+	}
+}
+
+func attemptID(b *testing.B, p fleet.Piece) fleet.AttemptID {
+	task, err := fleet.ParseTaskID(p.Piece)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return fleet.AttemptID{Task: task, Try: p.Try}
+}
+
 // BenchmarkReport is a report's way through the leader's routine when it
 // changes nothing.
 func BenchmarkReport(b *testing.B) {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -13,7 +13,8 @@
 // it puts work on or stops work on; these must be made anew for the next pass.
 func Decide(w *World) *Plan {
 	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room),
-		able: make(map[standing]int)}
+		able: make(map[standing]int), outside: make(map[string]bool)}
+	var running []*Job // whose tasks may be stopped, each once
 	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
 	if !slices.IsSortedFunc(w.Rigs, byName) {
 		slices.SortFunc(w.Rigs, byName)
@@ -34,13 +35,21 @@
 			case s.Ending:
 				p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
 			default:
-				p.able[standing{s.Job.Priority, s.Job.Guaranteed, s.Job.Spec.Owner}]++
+				// Counted by job first: tasks are many, standings few.
+				if s.Job.tally == 0 {
+					running = append(running, s.Job)
+				}
+				s.Job.tally++
 			}
 		}
 		for _, h := range r.Held {
 			p.held[h.Pipeline] = append(p.held[h.Pipeline], h.Room)
 		}
 	}
+	for _, j := range running {
+		p.able[standing{j.Priority, j.Guaranteed, j.Spec.Owner}] += j.tally
+		j.tally = 0
+	}
 	slices.SortFunc(w.Jobs, func(a, b *Job) int {
 		switch {
 		case Before(a, b):
@@ -117,6 +126,10 @@
 	// standing.
 	held map[Pipeline][]Room
 	able map[standing]int
+	// outside are the teams that use more than their guarantee, as far as room
+	// has been sought for the present job; victims is room to list tasks in.
+	outside map[string]bool
+	victims []Slot
 	// tries counts the jobs that room was sought for.
 	tries int
 	// draining counts the machines that are kept for gangs until what runs on
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -28,8 +29,15 @@
 
 // beyond tells whether a team uses more than its guarantee.
 func (p *pass) beyond(owner string) bool {
-	t := p.Teams[owner]
-	return t != nil && !t.Guards(t.Used.Sub(p.ending[owner]))
+	is, known := p.outside[owner]
+	if !known {
+		t := p.Teams[owner]
+		is = t != nil && !t.Guards(t.Used.Sub(p.ending[owner]))
+		if p.outside != nil {
+			p.outside[owner] = is
+		}
+	}
+	return is
 }
 
 // mayStop tells whether anything runs that the job may stop.
@@ -56,6 +64,7 @@
 // stops others' tasks where the rules allow it. Only the first jobs in the
 // queue get this: what they leave is little, and looking costs time.
 func (p *pass) makeRoom(j *Job, n int) {
+	clear(p.outside) // what this pass has placed and stopped so far changes it
 	need := Need(j.Spec)
 	gang := j.Spec.Shape == "gang"
 	mayStop := p.mayStop(j)
@@ -69,13 +78,7 @@
 	best := make(map[string][]option) // the n cheapest, by zone if it matters
 	var zones []string
 	for _, r := range p.Rigs {
-		if !p.usable(j, r) || r.claimed != nil && r.claimed != j && j.Overdue == NoLift || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
-			continue
-		}
-		o, ok := p.option(j, r, need, n, mayStop)
-		if !ok || o.coming == 0 && !gang {
-			// A task of a sweep takes any room that comes free; only whole
-			// machines for gangs need keeping.
+		if r.claimed != nil && r.claimed != j && j.Overdue == NoLift || !p.usable(j, r) || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
 			continue
 		}
 		zone := ""
@@ -83,6 +86,16 @@
 			zone = r.Zone
 		}
 		list := best[zone]
+		worst := math.Inf(1)
+		if len(list) == n {
+			worst = list[n-1].cost
+		}
+		o, ok := p.option(j, r, need, n, mayStop, worst)
+		if !ok || o.coming == 0 && !gang {
+			// A task of a sweep takes any room that comes free; only whole
+			// machines for gangs need keeping.
+			continue
+		}
 		if list == nil {
 			zones = append(zones, zone)
 		}
@@ -142,47 +155,57 @@
 	}
 }
 
-// option weighs one machine for a job that needs room.
-func (p *pass) option(j *Job, r *Rig, need Room, n int, mayStop bool) (option, bool) {
+// option weighs one machine for a job that needs room, as long as it may cost
+// less than the worst that the job has already. Every gang that waits looks at
+// all machines, so nothing is reckoned or kept here that can't matter.
+func (p *pass) option(j *Job, r *Rig, need Room, n int, mayStop bool, worst float64) (option, bool) {
 	f := r.free(j).Add(r.ending)
 	o := option{rig: r, coming: f.Count(need, n)}
 	if o.coming > 0 {
 		o.cost = r.delay(j)
-		return o, true
+		return o, o.cost < worst
 	}
 	if mayStop && r.stoppable && (r.lowest < j.Priority || j.Guaranteed) {
-		var able []Slot
+		able, all := p.victims[:0], f
 		for _, s := range r.Slots {
 			if p.mayEvict(j, s) {
 				able = append(able, s)
+				all = all.Add(s.Room)
 			}
 		}
-		slices.SortStableFunc(able, func(a, b Slot) int {
-			if a.Job.Priority != b.Job.Priority {
-				return cmp.Compare(a.Job.Priority, b.Job.Priority)
-			}
-			return cmp.Compare(a.Loss, b.Loss)
-		})
-		g := f
-		var cost time.Duration
-		for _, s := range able {
-			if g.Fits(need) {
-				break
+		p.victims = able[:0]
+		if all.Fits(need) {
+			slices.SortStableFunc(able, func(a, b Slot) int {
+				if a.Job.Priority != b.Job.Priority {
+					return cmp.Compare(a.Job.Priority, b.Job.Priority)
+				}
+				return cmp.Compare(a.Loss, b.Loss)
+			})
+			g, many := f, 0
+			var cost time.Duration
+			for _, s := range able {
+				if g.Fits(need) || cost.Seconds() >= worst {
+					break
+				}
+				g = g.Add(s.Room)
+				cost += time.Duration(float64(s.Loss) * max(s.Room.GPUs, 1))
+				many++
 			}
-			g = g.Add(s.Room)
-			cost += time.Duration(float64(s.Loss) * max(s.Room.GPUs, 1))
-			o.victim = append(o.victim, s)
-		}
-		if g.Fits(need) {
 			o.cost = cost.Seconds() + r.delay(j)*max(need.GPUs, 1)
+			if o.cost >= worst {
+				return o, false
+			}
+			o.victim = slices.Clone(able[:many])
 			o.coming = g.Count(need, n)
 			return o, true
 		}
-		o.victim = nil
 	}
 	if j.Spec.Shape != "gang" {
 		return o, false
 	}
+	if 1e6+r.left.Seconds()-tuning.ClaimKept-tuning.ClaimKeptOverdue >= worst {
+		return o, false
+	}
 	o.cost = 1e6 + r.left.Seconds() + r.delay(j)
 	if j.Claims[r.Name] {
 		o.cost -= tuning.ClaimKept
@@ -190,7 +213,7 @@
 			o.cost -= tuning.ClaimKeptOverdue
 		}
 	}
-	return o, true
+	return o, o.cost < worst
 }
 
 // prepare keeps a machine for a job and stops what must go.
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -179,6 +179,8 @@
 	// until the next one, or else how far back the job stands among the late.
 	Late  bool
 	Slack time.Duration
+
+	tally int // of its tasks, while a pass counts them
 }
 
 // Weigh sets how urgently the job must start, for the order among equals:
