Idle calls to workers bounded; no waiting at the door; what is scarce is said

- 32 idle connections to workers are kept; at the limit a new connection is closed at once.
- status, metrics and the log say how far a takeover has come (machines heard), what of sockets, memory and tokens is scarce; settings too small for the workers to be expected are a warning with key and figures.

--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -178,13 +179,23 @@
 func printOverview(out io.Writer, o node.Overview) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	defer w.Flush()
-	fmt.Fprintln(w, "NODE\tLEADS\tLEADER SEEN\tTERM\tSTATE REQUESTS LEFT\tSTATE CHANGES LEFT\tCLOUD CALLS LEFT")
+	fmt.Fprintln(w, "NODE\tLEADS\tLEADER SEEN\tTERM\tSTATE REQUESTS LEFT\tSTATE CHANGES LEFT\tCLOUD CALLS LEFT\tSOCKETS\tMEMORY\tTHREADS\tSCARCE")
 	for _, n := range o.Nodes {
 		if !n.Reachable {
-			fmt.Fprintf(w, "%s\tnot reachable\t\t\t\t\t\n", n.Label)
+			fmt.Fprintf(w, "%s\tnot reachable\t\t\t\t\t\t\t\t\t\n", n.Label)
 			continue
 		}
-		fmt.Fprintf(w, "%s\t%v\t%s\t%d\t%.0f\t%.0f\t%.0f\n", n.Label, n.Leads, n.Leader, n.Term, n.RequestTokens, n.WriteTokens, n.CloudTokens)
+		sockets := fmt.Sprint(n.Sockets.Open)
+		if n.Sockets.Limit > 0 {
+			sockets = fmt.Sprintf("%d of %d", n.Sockets.Open, n.Sockets.Limit)
+		}
+		fmt.Fprintf(w, "%s\t%v\t%s\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f MB\t%d\t%s\n", n.Label, n.Leads, n.Leader, n.Term,
+			n.RequestTokens, n.WriteTokens, n.CloudTokens, sockets, n.MemoryMB, n.Threads, strings.Join(n.Scarce, ", "))
+	}
+	for _, n := range o.Nodes {
+		if n.Taking != "" {
+			fmt.Fprintf(w, "\n%s takes over: %s\n", n.Label, n.Taking)
+		}
 	}
 	c := o.Cluster
 	if c == nil {
--- a/cmd/thornnotch/main.go
+++ b/cmd/thornnotch/main.go
@@ -77,9 +77,13 @@
 }
 
 func (c *checkCmd) Run() error {
-	if _, _, err := c.load(); err != nil {
+	set, _, err := c.load()
+	if err != nil {
 		return err
 	}
+	for _, w := range set.Warnings(tuning.WorkersLeast) {
+		fmt.Println("warning:", w)
+	}
 	fmt.Println("the settings are good")
 	return nil
 }
--- /dev/null
+++ b/internal/config/sizing.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"fmt"
+	"math"
+
+	"thornnotch/internal/tuning"
+)
+
+// socketsKept is how many sockets the calls of a node with so many others take.
+func socketsKept(known int) int {
+	return tuning.StateConns + tuning.CloudConns + tuning.CommandsAtOnce + tuning.CommandsIdle +
+		known*(1+tuning.MeshConnsPerNode) + tuning.SocketMargin
+}
+
+// SocketLimit is how many connections users and workers may have together: all
+// sockets but those that our own calls need, which are bounded in number. 0
+// means that there is no limit.
+func (s *Settings) SocketLimit() int {
+	all := s.Params.Limits.Sockets
+	if all <= 0 {
+		return 0
+	}
+	kept := min(socketsKept(len(s.Known)), int(float64(all)*tuning.SocketsMostKept))
+	return max(tuning.SocketsLeast, all-kept)
+}
+
+// Fits tells how many workers one node can serve by its sockets and by its
+// memory, with some users beside them. Infinite where there is no limit.
+func (s *Settings) Fits() (bySockets, byMemory float64) {
+	bySockets, byMemory = math.Inf(1), math.Inf(1)
+	if n := s.SocketLimit(); n > 0 {
+		bySockets = max(0, float64(n-tuning.UsersLeast))
+	}
+	if mb := s.Params.Limits.MemMB; mb > 0 {
+		byMemory = max(0, math.Floor((mb-tuning.MemoryOwnMB)/tuning.MemoryPerWorkerMB))
+	}
+	return bySockets, byMemory
+}
+
+// Warnings name the settings under which a node can't serve so many workers.
+// They are no reason not to start: it serves what it can.
+func (s *Settings) Warnings(workers int) (out []string) {
+	bySockets, byMemory := s.Fits()
+	need := float64(workers)
+	if bySockets < need {
+		out = append(out, fmt.Sprintf("params.machine_limits.sockets: %d leave room for %.0f workers beside %d users and our own calls; %d are to be expected: all of them would take %d",
+			s.Params.Limits.Sockets, bySockets, tuning.UsersLeast, workers, workers+tuning.UsersLeast+socketsKept(len(s.Known))))
+	}
+	if byMemory < need {
+		out = append(out, fmt.Sprintf("params.machine_limits.mem_mb: %g are enough for %.0f workers; %d are to be expected: they would take about %.0f",
+			s.Params.Limits.MemMB, byMemory, workers, tuning.MemoryOwnMB+need*tuning.MemoryPerWorkerMB))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/config/sizing_test.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"thornnotch/internal/tuning"
+)
+
+// TestSocketsForWorkers: what our own calls need is kept from users and workers;
+// on deployments of 2,100 and 1,850 machines all workers fit beside users and
+// below the point from which their connections are closed after each answer.
+func TestSocketsForWorkers(t *testing.T) {
+	for _, c := range []struct{ all, known, workers int }{{2500, 4, 2100}, {3593, 2, 1850}, {1200, 2, 48}, {40, 2, 8}} {
+		t.Run(fmt.Sprint(c.all), func(t *testing.T) {
+			s := &Settings{Known: make([]Peer, c.known)}
+			s.Params.Limits.Sockets = c.all
+			got := s.SocketLimit()
+			if got >= c.all || float64(c.workers) > tuning.SocketsFull*float64(got) {
+				t.Errorf("%d of %d sockets for %d workers and users", got, c.all, c.workers)
+			}
+			if kept := c.all - got; c.all > 1000 && kept < socketsKept(c.known) {
+				t.Errorf("%d kept for our own calls", kept)
+			}
+		})
+	}
+	if new(Settings).SocketLimit() != 0 {
+		t.Errorf("a limit where the settings name none")
+	}
+}
+
+// TestSizeWarnings: settings under which a node can't serve so many workers are
+// named with their key and the figures; enough is not complained about.
+func TestSizeWarnings(t *testing.T) {
+	s := &Settings{Known: make([]Peer, 4)}
+	if w := s.Warnings(100000); len(w) != 0 {
+		t.Errorf("without limits: %v", w)
+	}
+	s.Params.Limits = Limits{Sockets: 2500, MemMB: 271}
+	if w := s.Warnings(2100); len(w) != 0 {
+		t.Errorf("enough for 2,100: %v", w)
+	}
+	s.Params.Limits = Limits{Sockets: 1200, MemMB: 100}
+	w := strings.Join(s.Warnings(2100), "\n")
+	for _, part := range []string{"params.machine_limits.sockets: 1200 ", "params.machine_limits.mem_mb: 100 ", "2100 are to be expected"} {
+		if !strings.Contains(w, part) {
+			t.Errorf("%q is not in:\n%s", part, w)
+		}
+	}
+	s.Params.Limits = Limits{Sockets: 20, MemMB: 20}
+	if w := s.Warnings(tuning.WorkersLeast); len(w) != 2 {
+		t.Errorf("too little for anybody: %v", w)
+	}
+}
--- a/internal/fleet/courier.go
+++ b/internal/fleet/courier.go
@@ -18,7 +18,7 @@
 // NewCourier makes a courier that reaches workers through dial.
 func NewCourier(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Courier {
 	return &Courier{&http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1,
+		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: tuning.CommandsIdle,
 		IdleConnTimeout: tuning.HeaderTimeout, DisableCompression: true,
 	}}}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -77,6 +79,9 @@
 	ctx   context.Context
 	tasks *errgroup.Group
 
+	// takeover is how far the takeover has come, for operators; empty once it
+	// is over. It is read by others.
+	takeover    atomic.Pointer[string]
 	ended       error
 	loaded      bool
 	sure        time.Time // when every cancellation was last certainly known
@@ -109,6 +114,7 @@
 	// after it had stood still, and unproven is set from then on until the
 	// state service has said that the term still lasts.
 	beat, wokeAt       time.Time
+	began              time.Time // the term, here
 	unproven, checking bool
 	// finished are jobs that ended here before the watch has told so.
 	finished map[string]bool
@@ -280,14 +286,52 @@
 	}
 }
 
+// Takeover tells how far the takeover has come; empty once it is over.
+func (l *Leader) Takeover() string {
+	if s := l.takeover.Load(); s != nil {
+		return *s
+	}
+	return ""
+}
+
+func (l *Leader) says(format string, args ...any) {
+	s := fmt.Sprintf(format, args...)
+	l.takeover.Store(&s)
+}
+
+// hears follows which of the machines that the records name have reported. The
+// takeover is over once all have, or those that have not must have lost their
+// leases.
+func (l *Leader) hears(now time.Time) {
+	if l.Takeover() == "" {
+		return
+	}
+	all, heard := 0, 0
+	for _, r := range l.rigs {
+		all++
+		if r.m.Known {
+			heard++
+		}
+	}
+	if took := now.Sub(l.began); heard == all || took > l.lease {
+		l.says("")
+		l.d.Log.Info("takeover complete", "term", l.grant.Term, "machines", all, "heard", heard, "took_s", math.Round(took.Seconds()*10)/10)
+		return
+	}
+	l.says("%d of %d machines heard", heard, all)
+}
+
 // load reads all records of the earlier terms. Reading starts after the term
 // was raised, so no older leader can change them any more.
 func (l *Leader) load(ctx context.Context) (epoch uint64, err error) {
 	start := time.Now()
+	l.began = start
+	l.says("reading the jobs")
 	open, epoch, err := l.read(ctx, intake.OpenPrefix)
 	if err != nil {
 		return 0, err
 	}
+	l.says("reading the log, %d jobs open", len(open))
 	rows, _, err := l.read(ctx, wal.Prefix)
 	if err != nil {
 		return 0, err
@@ -428,6 +472,7 @@
 	for class := range l.arrivals {
 		l.arrivals[class] *= 1 - tuning.TickEvery.Seconds()/tuning.ArrivalMemory.Seconds()
 	}
+	l.hears(now)
 	shown := 0
 	for _, r := range l.sortedRigs() {
 		if ev := r.m.CheckLease(l.grant.Term, l.lease, now); len(ev) > 0 {
--- /dev/null
+++ b/internal/node/needs.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"math"
+	"runtime/metrics"
+	"runtime/pprof"
+	"slices"
+	"strings"
+	"time"
+
+	"thornnotch/internal/tuning"
+)
+
+// What a node takes of its machine, and what is scarce, for operators.
+
+// warn logs which settings are too small for so many workers.
+func (n *Node) warn(workers int) {
+	for _, w := range n.set.Warnings(workers) {
+		n.log.Warn("settings are too small", "problem", w)
+	}
+}
+
+// guaranteedMachines is how many machines the teams' guarantees fill, on the
+// largest type: at least as many are to be expected.
+func (n *Node) guaranteedMachines() int {
+	cat := n.catalog.Load()
+	if cat == nil {
+		return 0
+	}
+	gpus, cpus := 0.0, 0.0
+	for _, t := range cat.RigTypes {
+		gpus, cpus = max(gpus, t.Accelerators), max(cpus, t.VCPUs)
+	}
+	sum := 0.0
+	for _, t := range n.set.Params.Teams {
+		need := 0.0
+		if gpus > 0 {
+			need = t.GPUs / gpus
+		}
+		if cpus > 0 {
+			need = max(need, t.CPUs/cpus)
+		}
+		sum += need
+	}
+	return int(math.Ceil(sum))
+}
+
+// memoryMB is what the process holds of memory now.
+func memoryMB() float64 {
+	read := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(read)
+	return float64(read[0].Value.Uint64()-read[1].Value.Uint64()) / (1 << 20)
+}
+
+// threads is how many threads the process has made.
+func threads() int { return pprof.Lookup("threadcreate").Count() }
+
+// scarce names what there is too little of.
+func (n *Node) scarce(memory float64) (out []string) {
+	if n.sockets.user() {
+		out = append(out, "sockets")
+	}
+	if lim := n.set.Params.Limits.MemMB; lim > 0 && memory > tuning.MemoryScarce*lim {
+		out = append(out, "memory")
+	}
+	requests, changes := n.store.Budget.Left()
+	rps, writes := n.share(n.leading.Load() != nil)
+	if requests < tuning.TokensScarce*rps {
+		out = append(out, "state service requests")
+	}
+	if changes < tuning.TokensScarce*writes {
+		out = append(out, "state service changes")
+	}
+	return out
+}
+
+// watchNeeds logs when something becomes scarce and when that is over, and,
+// once the catalog is known, whether the settings are enough for the machines
+// that the teams are guaranteed.
+func (n *Node) watchNeeds(ctx context.Context) error {
+	tick := time.NewTicker(tuning.NeedsEvery)
+	defer tick.Stop()
+	var was []string
+	warned := false
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		if least := n.guaranteedMachines(); !warned && least > 0 {
+			warned = true
+			if least > tuning.WorkersLeast {
+				n.warn(least)
+			}
+		}
+		memory := memoryMB()
+		is := n.scarce(memory)
+		if slices.Equal(is, was) {
+			continue
+		}
+		u := n.sockets.use()
+		attrs := []any{"memory_mb", math.Round(memory), "threads", threads(), "sockets", u.Open, "sockets_limit", u.Limit}
+		if len(is) > 0 {
+			n.log.Info("scarce", append([]any{"what", strings.Join(is, ", ")}, attrs...)...)
+		} else {
+			n.log.Info("nothing is scarce any more", attrs...)
+		}
+		was = is
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 // New makes a node from its settings.
 func New(set *config.Settings, op config.Operator, network Network, log *slog.Logger) *Node {
 	n := &Node{net: network, set: set, op: op, log: log,
-		sockets: newSockets(socketLimit(set.Params.Limits.Sockets, len(set.Known)))}
+		sockets: newSockets(set.SocketLimit())}
 	n.store = ledger.New(set.Services.State, ledger.NewBudget(n.share(false)), network.DialContext)
 	n.cloud = market.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use, network.DialContext)
 	n.elector = term.New(set.Label, n.store, log)
@@ -126,9 +126,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	if n.sockets.limit > 0 {
-		listen = netutil.LimitListener(listen, n.sockets.limit)
-	}
+	listen = door{listen, n.sockets}
 	meshListen, err := n.net.Listen("tcp", n.set.MeshAddr)
 	if err != nil {
 		return fmt.Errorf("mesh: %w", err)
@@ -140,7 +138,10 @@
 		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 		ConnState: n.sockets.follow, ConnContext: n.sockets.accepted,
 	}
-	n.log.Info("serving", "label", n.set.Label, "site", n.set.Site, "listen", n.set.Listen)
+	bySockets, byMemory := n.set.Fits()
+	n.log.Info("serving", "label", n.set.Label, "site", n.set.Site, "listen", n.set.Listen,
+		"workers_by_sockets", bySockets, "workers_by_memory", byMemory)
+	n.warn(tuning.WorkersLeast)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := srv.Serve(listen); !errors.Is(err, http.ErrServerClosed) {
@@ -157,6 +158,7 @@
 	group.Go(func() error { return mesh.Serve(ctx, meshListen, n) })
 	group.Go(func() error { return n.keepCatalog(ctx) })
 	group.Go(func() error { return n.watchHealth(ctx) })
+	group.Go(func() error { return n.watchNeeds(ctx) })
 	group.Go(func() error { return users.Mirror(ctx) })
 	group.Go(func() error { return users.Polls(ctx) })
 	group.Go(func() error { return n.elector.Run(ctx, n.lead) })
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -23,7 +23,9 @@
 	mu    sync.Mutex
 	open  map[net.Conn]*link
 	idle  *list.List // users' connections with no request under way, longest first
-	ended uint64     // connections of users that were ended for want of room
+	// ended are the connections of users that were ended for want of room,
+	// refused those that found none.
+	ended, refused uint64
 }
 
 // link is one connection to a user or a worker.
@@ -34,20 +36,6 @@
 
 type linkKey struct{}
 
-// socketLimit is how many connections users and workers may have together: all
-// sockets but those that our own calls need, which are bounded in number.
-func socketLimit(all, known int) int {
-	if all <= 0 {
-		return 0
-	}
-	return max(16, all-min(socketsKept(known), int(float64(all)*tuning.SocketsMostKept)))
-}
-
-// socketsKept is how many sockets the calls of a node with so many others take.
-func socketsKept(known int) int {
-	return tuning.StateConns + tuning.CloudConns + tuning.CommandsAtOnce + known*(1+tuning.MeshConnsPerNode) + tuning.SocketMargin
-}
-
 func newSockets(limit int) *sockets {
 	return &sockets{limit: limit, open: make(map[net.Conn]*link), idle: list.New()}
 }
@@ -64,6 +52,37 @@
 	return context.WithValue(ctx, linkKey{}, l)
 }
 
+// door lets connections in as long as there is room. At the limit the next one
+// is closed at once: left waiting, it would take a socket all the same, those
+// that our own calls need in the end, and its owner would learn nothing for
+// seconds. (netutil's listener lets them wait.)
+type door struct {
+	net.Listener
+	s *sockets
+}
+
+// Accept takes in the next connection that there is room for.
+func (d door) Accept() (net.Conn, error) {
+	for {
+		c, err := d.Listener.Accept()
+		if err != nil || d.s.admit() {
+			return c, err
+		}
+		_ = c.Close()
+	}
+}
+
+// admit tells whether there is room for one more connection.
+func (s *sockets) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit > 0 && len(s.open) >= s.limit {
+		s.refused++
+		return false
+	}
+	return true
+}
+
 // follow keeps count of open connections, and ends the longest idle one of a
 // user when a new one takes one of the last places.
 func (s *sockets) follow(c net.Conn, state http.ConnState) {
@@ -135,10 +154,18 @@
 	return s.beyond(tuning.SocketsFull)
 }
 
-// count tells how many connections are open, how many may be, and how many
-// were ended for want of room.
-func (s *sockets) count() (open, limit int, ended uint64) {
+// SocketUse is how many connections of users and workers are open.
+type SocketUse struct {
+	Open  int `json:"open"`
+	Limit int `json:"limit"` // 0: none
+	// Ended are users' connections that were ended for want of room since the
+	// process began, Refused those that found none.
+	Ended   uint64 `json:"ended"`
+	Refused uint64 `json:"refused"`
+}
+
+func (s *sockets) use() SocketUse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.open), s.limit, s.ended
+	return SocketUse{len(s.open), s.limit, s.ended, s.refused}
 }
--- a/internal/node/sockets_test.go
+++ b/internal/node/sockets_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -12,7 +11,6 @@
 	"pgregory.net/rapid"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/tuning"
 )
 
 // conn is a connection that only knows whether it is open.
@@ -98,11 +96,11 @@
 			switch rapid.IntRange(0, 2).Draw(t, "what") {
 			case 0:
 				idle := s.idle.Len()
-				if len(peers) >= limit {
-					if idle > 0 {
-						t.Fatalf("no room for a new connection while %d users idle", idle)
+				if !s.admit() {
+					if idle > 0 || len(peers) < limit {
+						t.Fatalf("no room for a new connection beside %d while %d users idle", len(peers), idle)
 					}
-					continue // the listener lets it wait
+					continue
 				}
 				p := &peer{c: &conn{}, worker: rapid.Bool().Draw(t, "worker")}
 				ctx := s.accepted(t.Context(), p.c)
@@ -132,28 +130,10 @@
 					peers = append(peers[:i], peers[i+1:]...)
 				}
 			}
-			if open, _, _ := s.count(); open != len(peers) {
-				t.Fatalf("%d open, counted %d", len(peers), open)
+			if got := s.use().Open; got != len(peers) || got > limit {
+				t.Fatalf("%d open, counted %d", len(peers), got)
 			}
 		}
 	})
 }
 
-// TestSocketLimit: what our own calls need is kept from users and workers; on
-// the fleet deployments all workers then fit beside some users.
-func TestSocketLimit(t *testing.T) {
-	for _, c := range []struct{ all, known, workers int }{{2500, 4, 2100}, {3593, 2, 1842}, {1200, 2, 48}, {40, 2, 8}} {
-		t.Run(fmt.Sprint(c.all), func(t *testing.T) {
-			got := socketLimit(c.all, c.known)
-			if got >= c.all || float64(c.workers) > tuning.SocketsFull*float64(got) {
-				t.Errorf("%d of %d sockets for %d workers and users", got, c.all, c.workers)
-			}
-			if kept := c.all - got; c.all > 1000 && kept < tuning.CommandsAtOnce+tuning.StateConns+tuning.CloudConns {
-				t.Errorf("%d kept for our own calls", kept)
-			}
-		})
-	}
-	if socketLimit(0, 4) != 0 {
-		t.Errorf("a limit where the settings name none")
-	}
-}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -24,6 +24,15 @@
 	RequestTokens float64 `json:"stateRequestTokens"`
 	WriteTokens   float64 `json:"stateWriteTokens"`
 	CloudTokens   float64 `json:"cloudTokens"`
+	// Taking is how far a takeover by this node has come; empty if none is
+	// under way.
+	Taking  string    `json:"takingOver,omitempty"`
+	Sockets SocketUse `json:"sockets"`
+	// Threads and MemoryMB are what the process takes now.
+	Threads  int     `json:"threads"`
+	MemoryMB float64 `json:"memoryMB"`
+	// Scarce names what there is too little of.
+	Scarce []string `json:"scarce,omitempty"`
 }
 
 // Overview is the whole site as one node can see it. Cluster is nil while no
@@ -37,6 +46,11 @@
 	s := NodeStatus{Label: n.set.Label, Reachable: true, Leads: n.leading.Load() != nil, CloudTokens: n.cloud.Tokens()}
 	s.Leader, s.Term = n.elector.Leader()
 	s.RequestTokens, s.WriteTokens = n.store.Budget.Left()
+	s.Sockets, s.Threads, s.MemoryMB = n.sockets.use(), threads(), memoryMB()
+	s.Scarce = n.scarce(s.MemoryMB)
+	if l := n.leading.Load(); l != nil {
+		s.Taking = l.Takeover()
+	}
 	return s
 }
 
@@ -113,6 +127,10 @@
 	put(desc("term", "The newest term that this node knows."), float64(own.Term))
 	put(desc("state_request_tokens", "Requests to the state service that may be made at once."), own.RequestTokens)
 	put(desc("state_write_tokens", "Changes in the state service that may be made at once."), own.WriteTokens)
+	put(desc("sockets_open", "Connections of users and workers."), float64(own.Sockets.Open))
+	put(desc("sockets_limit", "As many as there may be; 0: any number."), float64(own.Sockets.Limit))
+	put(desc("threads", "Threads that the process has made."), float64(own.Threads))
+	put(desc("memory_bytes", "Memory that the process holds."), own.MemoryMB*(1<<20))
 	put(desc("cloud_tokens", "Calls to the cloud that may be made at once."), own.CloudTokens)
 	count := func(name, help string, v float64, labels ...string) {
 		var names []string
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -388,9 +388,31 @@
 	// CommandsAtOnce bounds the direct orders under way: in a cut-off zone each
 	// hangs until its time is over, and every one takes a socket.
 	CommandsAtOnce = 96
+	// CommandsIdle bounds the connections to workers that are kept for the next
+	// order: with hundreds of workers one a worker would be too many.
+	CommandsIdle = 32
 	// MeshConnsPerNode bounds the connections that each other node may have
 	// open here; it needs one, and a new one when one hangs.
 	MeshConnsPerNode = 4
+	// SocketsLeast is how many connections users and workers may have together
+	// however few sockets there are.
+	SocketsLeast = 16
+	// UsersLeast and WorkersLeast are how many users and workers a node must be
+	// able to serve at the least for the settings to make sense.
+	UsersLeast   = 32
+	WorkersLeast = 8
+	// MemoryOwnMB is what a process takes before anybody comes, and
+	// MemoryPerWorkerMB what each worker adds on the leader: its connection's
+	// buffers and routine, its state, its part of the queue and of the garbage
+	// that has not been collected yet (178 MB at 2,100, measured).
+	MemoryOwnMB       = 24.0
+	MemoryPerWorkerMB = 0.08
+	// NeedsEvery is how often a node looks at what it takes of its machine.
+	NeedsEvery = 5 * time.Second
+	// MemoryScarce and TokensScarce are the parts of the memory taken, and of
+	// the tokens left, from which these count as scarce.
+	MemoryScarce = 0.85
+	TokensScarce = 0.1
 	// MemoryShare is the part of the machine's memory that the Go runtime is
 	// told to stay within; threads and the binary need the rest.
 	MemoryShare = 0.7
