--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -20,9 +20,9 @@
 type sockets struct {
 	limit int // 0: none
 
-	mu    sync.Mutex
-	open  map[net.Conn]*link
-	idle  *list.List // users' connections with no request under way, longest first
+	mu   sync.Mutex
+	open map[net.Conn]*link
+	idle *list.List // users' connections with no request under way, longest first
 	// ended are the connections of users that were ended for want of room,
 	// refused those that found none.
 	ended, refused uint64
--- a/internal/node/sockets_test.go
+++ b/internal/node/sockets_test.go
@@ -136,4 +136,3 @@
 		}
 	})
 }
-
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -13,7 +13,7 @@
 // it puts work on or stops work on; these must be made anew for the next pass.
 func Decide(w *World) *Plan {
 	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room),
-		able: make(map[standing]int), outside: make(map[string]bool)}
+		able: make(map[standing]int), outside: make(map[string]bool), bits: make(map[standing]uint64)}
 	var running []*Job // whose tasks may be stopped, each once
 	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
 	if !slices.IsSortedFunc(w.Rigs, byName) {
@@ -21,13 +21,13 @@
 	}
 	leanest := p.leanest()
 	for i, r := range w.Rigs {
-		r.rank, r.claimed = i, nil
+		r.rank, r.claimed, r.roomy, r.standings = i, nil, false, 0
 		r.sum()
 		if r.Open && !r.Spot && len(r.Slots) == 0 {
 			p.whole++
 		}
 		if r.Open && r.Seats > 0 && r.Total.Sub(r.used).Fits(leanest) {
-			p.roomy = append(p.roomy, r)
+			p.roomy, r.roomy = append(p.roomy, r), true
 		}
 		for _, s := range r.Slots {
 			switch {
@@ -38,8 +38,10 @@
 				// Counted by job first: tasks are many, standings few.
 				if s.Job.tally == 0 {
 					running = append(running, s.Job)
+					s.Job.bit = p.bit(standing{s.Job.Priority, s.Job.Guaranteed, s.Job.Spec.Owner})
 				}
 				s.Job.tally++
+				r.standings |= s.Job.bit
 			}
 		}
 		for _, h := range r.Held {
@@ -112,8 +114,19 @@
 	owner      string
 }
 
+// bit gives a standing its bit; those beyond 63 share one.
+func (p *pass) bit(v standing) uint64 {
+	b, known := p.bits[v]
+	if !known {
+		b = 1 << min(len(p.bits), 63)
+		p.bits[v] = b
+	}
+	return b
+}
+
 type pass struct {
 	*World
+	bits map[standing]uint64
 	plan *Plan
 	// whole is the number of ordinary machines with nothing on them.
 	whole int
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -74,10 +74,20 @@
 	if p.tries++; p.tries > tuning.RoomTries {
 		return
 	}
+	// Once as many machines drain as may, only what comes free by itself or by
+	// stopping others is of use: the rest need not be looked at.
+	drains := gang && !p.drained(1)
+	stops := uint64(0)
+	if mayStop {
+		stops = p.stops(j)
+	}
 	oneZone := gang && j.Spec.SamePlace && n > 1
 	best := make(map[string][]option) // the n cheapest, by zone if it matters
 	var zones []string
 	for _, r := range p.Rigs {
+		if !drains && !r.roomy && r.ending == (Room{}) && r.standings&stops == 0 && !p.thorough {
+			continue
+		}
 		if r.claimed != nil && r.claimed != j && j.Overdue == NoLift || !p.usable(j, r) || !zoneAllows(j, r.Zone) || !r.Total.Fits(need) {
 			continue
 		}
@@ -90,7 +100,7 @@
 		if len(list) == n {
 			worst = list[n-1].cost
 		}
-		o, ok := p.option(j, r, need, n, mayStop, worst)
+		o, ok := p.option(j, r, need, n, mayStop, stops, worst)
 		if !ok || o.coming == 0 && !gang {
 			// A task of a sweep takes any room that comes free; only whole
 			// machines for gangs need keeping.
@@ -140,7 +150,7 @@
 			idle++
 		}
 	}
-	if idle > 0 && p.draining > 0 && float64(p.draining+idle) > tuning.ClaimMost*float64(len(p.Rigs)) {
+	if idle > 0 && p.drained(idle) {
 		// Enough machines drain for gangs already. What comes free goes to
 		// other work meanwhile: where much waits, all would stand half empty.
 		return
@@ -155,17 +165,33 @@
 	}
 }
 
+// drained tells whether so many machines more would be too many to drain at a
+// time.
+func (p *pass) drained(more int) bool {
+	return p.draining > 0 && float64(p.draining+more) > tuning.ClaimMost*float64(len(p.Rigs))
+}
+
+// stops are the standings, as bits, whose tasks the job may stop.
+func (p *pass) stops(j *Job) (bits uint64) {
+	for v, bit := range p.bits {
+		if v.priority < j.Priority || v.priority == j.Priority && j.Guaranteed && !v.guaranteed && v.owner != j.Spec.Owner {
+			bits |= bit
+		}
+	}
+	return bits
+}
+
 // option weighs one machine for a job that needs room, as long as it may cost
 // less than the worst that the job has already. Every gang that waits looks at
 // all machines, so nothing is reckoned or kept here that can't matter.
-func (p *pass) option(j *Job, r *Rig, need Room, n int, mayStop bool, worst float64) (option, bool) {
+func (p *pass) option(j *Job, r *Rig, need Room, n int, mayStop bool, stops uint64, worst float64) (option, bool) {
 	f := r.free(j).Add(r.ending)
 	o := option{rig: r, coming: f.Count(need, n)}
 	if o.coming > 0 {
 		o.cost = r.delay(j)
 		return o, o.cost < worst
 	}
-	if mayStop && r.stoppable && (r.lowest < j.Priority || j.Guaranteed) {
+	if mayStop && r.stoppable && r.standings&stops != 0 && (r.lowest < j.Priority || j.Guaranteed) {
 		able, all := p.victims[:0], f
 		for _, s := range r.Slots {
 			if p.mayEvict(j, s) {
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -121,6 +121,8 @@
 	lowest    int           // least priority of the tasks not told to stop
 	stoppable bool          // whether there are any such
 	claimed   *Job          // waiting job that this machine is kept for
+	roomy     bool          // it had room for some task as the pass began
+	standings uint64        // of the tasks not told to stop then, as bits
 	rank      int
 }
 
@@ -180,7 +182,8 @@
 	Late  bool
 	Slack time.Duration
 
-	tally int // of its tasks, while a pass counts them
+	tally int    // of its tasks, while a pass counts them
+	bit   uint64 // its standing among those that run in the pass
 }
 
 // Weigh sets how urgently the job must start, for the order among equals:
@@ -227,6 +230,9 @@
 	// Spare is how many whole ordinary machines are left to gangs that can use
 	// no others by jobs that can.
 	Spare int
+
+	// thorough has all machines looked at where a pass need not; tests compare.
+	thorough bool
 }
 
 // Start puts one task on a machine.
