--- a/internal/leader/largest.go
+++ b/internal/leader/largest.go
@@ -50,7 +50,7 @@
 
 // sized keeps the largest size of each class up to date.
 func (l *Leader) sized(spec *intake.Job) {
-	if spec.Shape != intake.Gang || spec.Pieces < 2 {
+	if spec.Shape != intake.Gang {
 		return
 	}
 	g := l.largest[spec.Workload]
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -14,6 +14,11 @@
 	}
 	p.plan.Unmet = append(p.plan.Unmet, j)
 	if !p.gangWithinLimit(j) {
+		if t := p.Teams[j.Spec.Owner]; j.Overdue != NoLift && t.Kept == (Room{}) {
+			// Its team is at its limit. Lifting alone is no help then: jobs
+			// behind it would go on taking each bit that comes free.
+			t.Kept = Need(j.Spec).Times(len(j.Waiting))
+		}
 		return
 	}
 	p.makeRoom(j, len(j.Waiting))
--- a/internal/placement/room_test.go
+++ b/internal/placement/room_test.go
@@ -71,3 +71,33 @@
 		}
 	})
 }
+
+// TestLimitIsKeptForLiftedGang guards against a recorded day: a team at its
+// limit gave each GPU that came free to its sweeps, and its gangs waited for
+// eight minutes. Once a gang is lifted what comes free of the limit is kept for
+// it, but from nobody that stands before it, and from no other team.
+func TestLimitIsKeptForLiftedGang(t *testing.T) {
+	for _, lift := range []Lift{NoLift, LiftEqual, LiftAll} {
+		gang := sweepJob("j-2", "a", 1)
+		gang.Spec.Shape, gang.Spec.Pieces, gang.Waiting, gang.Order, gang.Overdue = "gang", 2, []int{0, 1}, 2, lift
+		before, behind, other := sweepJob("j-1", "a", 2), sweepJob("j-3", "a", 1), sweepJob("j-4", "b", 1)
+		before.Order, behind.Order, other.Order = 1, 3, 4
+		for _, j := range []*Job{before, behind, other} {
+			j.Spec.Accelerators = 1
+		}
+		w := &World{Jobs: []*Job{gang, before, behind, other}, Teams: map[string]*Team{
+			"a": {Max: Room{GPUs: 16}, Used: Room{GPUs: 9}}, "b": {Max: Room{GPUs: 16}}}}
+		for i := range 6 {
+			r := oneRig()
+			r.Name = fmt.Sprint("m-", i)
+			w.Rigs = append(w.Rigs, r)
+		}
+		started := map[string]bool{}
+		for _, s := range Decide(w).Starts {
+			started[s.Job.Spec.NameID] = true
+		}
+		if started["j-2"] || !started["j-4"] || started["j-3"] != (lift == NoLift) || started["j-1"] != (lift != LiftAll) {
+			t.Errorf("lifted %d: started %v", lift, started)
+		}
+	}
+}
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -53,11 +53,13 @@
 	// Guarantee and Max are its levels; 0 means none. RAM is not limited.
 	Guarantee, Max Room
 	Used           Room
+	// Kept is what of the limit is kept in a pass for a lifted gang.
+	Kept Room
 }
 
 // Allows tells whether the team may use extra on top.
 func (t *Team) Allows(extra Room) bool {
-	u := t.Used.Add(extra)
+	u := t.Used.Add(t.Kept).Add(extra)
 	return (t.Max.VCPUs <= 0 || u.VCPUs <= t.Max.VCPUs+tuning.RoundingSlack) && (t.Max.GPUs <= 0 || u.GPUs <= t.Max.GPUs+tuning.RoundingSlack)
 }
 
@@ -318,7 +320,7 @@
 	for _, j := range unfinished {
 		j.Overdue = NoLift
 		g := largest[j.Spec.Workload]
-		if g.Size > 1 && j.Spec.Pieces >= g.Size && j.Spec.Shape == intake.Gang && len(j.Waiting) > 0 && now.Sub(j.Submitted) > tuning.OverdueAfter {
+		if g.Size > 0 && j.Spec.Pieces >= g.Size && j.Spec.Shape == intake.Gang && len(j.Waiting) > 0 && now.Sub(j.Submitted) > tuning.OverdueAfter {
 			late = append(late, j)
 		}
 	}
