--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -138,9 +139,15 @@
 		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 		ConnState: n.sockets.follow, ConnContext: n.sockets.accepted,
 	}
+	attrs := []any{"label", n.set.Label, "site", n.set.Site, "listen", n.set.Listen}
 	bySockets, byMemory := n.set.Fits()
-	n.log.Info("serving", "label", n.set.Label, "site", n.set.Site, "listen", n.set.Listen,
-		"workers_by_sockets", bySockets, "workers_by_memory", byMemory)
+	if !math.IsInf(bySockets, 1) {
+		attrs = append(attrs, "room_for_workers_by_sockets", bySockets)
+	}
+	if !math.IsInf(byMemory, 1) {
+		attrs = append(attrs, "room_for_workers_by_memory", byMemory)
+	}
+	n.log.Info("serving", attrs...)
 	n.warn(tuning.WorkersLeast)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
