--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -284,11 +284,13 @@
 	for _, s := range []int{24, 30, 35} {
 		j.pace.add(time.Duration(s) * time.Second)
 	}
+	bad.m.Heard = t0.Add(45 * time.Second)
 	l.checkPace(t0.Add(45 * time.Second))
 	if bad.slow(t0.Add(45 * time.Second)) {
 		t.Fatalf("half as long again is taken for slow")
 	}
 	now := t0.Add(55 * time.Second)
+	bad.m.Heard = now
 	l.checkPace(now)
 	if !bad.slow(now) || bad.open(now) {
 		t.Fatalf("a slow machine is not found")
--- a/internal/leader/pace.go
+++ b/internal/leader/pace.go
@@ -69,7 +69,9 @@
 // checkPace looks for slow machines and takes their tasks elsewhere.
 func (l *Leader) checkPace(now time.Time) {
 	for _, r := range l.sortedRigs() {
-		if r.slow(now) || r.leaving {
+		// Of a machine that can't be heard nothing is known: its tasks may be
+		// over, and a cut must not make all machines behind it slow.
+		if r.slow(now) || r.leaving || l.silent(r, now) > l.quiet() {
 			continue
 		}
 		marks := r.slowMarks[:0]
@@ -85,7 +87,7 @@
 			if j == nil || j.spec.Shape == intake.Gang || a.Status != fleet.Running || a.RanAt.IsZero() {
 				continue
 			}
-			sum += j.pace.suspicion(now.Sub(a.RanAt), j.spec.Pieces)
+			sum += j.pace.suspicion(r.m.Heard.Sub(a.RanAt), j.spec.Pieces)
 		}
 		if sum < tuning.SlowProof {
 			continue
@@ -113,7 +115,8 @@
 
 // notePace takes in a finished task.
 func (l *Leader) notePace(r *rig, j *job, a *fleet.Attempt, now time.Time) {
-	if a.RanAt.IsZero() || j.spec.Shape == intake.Gang || j.inherited || j.again[a.ID.Task.Index] {
+	// When a task ended on a machine that was not heard meanwhile is not known.
+	if r.blind || a.RanAt.IsZero() || j.spec.Shape == intake.Gang || j.inherited || j.again[a.ID.Task.Index] {
 		return
 	}
 	ran := now.Sub(a.RanAt)
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -58,6 +58,8 @@
 	slowTimes int
 	// suspect is set while a start it was sent is missing from its reports.
 	suspect bool
+	// blind is set while a report is taken in that came after a long silence.
+	blind bool
 }
 
 // waiter is a report that has not been answered yet.
@@ -334,6 +336,7 @@
 		return false
 	}
 	known := r.m.Known
+	r.blind = known && now.Sub(r.m.Heard) > l.quiet()
 	before, deaf, doubt := r.m.Shift, r.m.Deaf, r.m.Doubt
 	ev, fresh := r.m.Observe(rep, l.grant.Term, direct, now)
 	if !fresh {
--- a/internal/leader/stall_test.go
+++ b/internal/leader/stall_test.go
@@ -160,3 +160,47 @@
 	<-h
 	return nil, ledger.ErrUnknown
 }
+
+// TestSilentMachinesAreNotSlow guards against what the zone day at 2,100
+// machines showed: behind a cut, tasks seemed to run on for ever, so their
+// machines were taken for slow and got no work for 45 s after the cut had
+// healed; and tasks that had ended meanwhile seemed to have run all the time.
+func TestSilentMachinesAreNotSlow(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprint("cut ", cut), func(t *testing.T) {
+			now := time.Now()
+			l := testLeader(t)
+			offline(t, l)
+			a, b := addRig(l, "m-a", "east", now), addRig(l, "m-b", "west", now)
+			j := addJob(t, l, sweep("j-1", 8), now)
+			l.pass(now)
+			settle(l, 100)
+			for _, r := range []*rig{a, b} {
+				r.m.Orders(true, now)
+				l.observe(r, report(l, r, fleet.Running, ""), false, now)
+			}
+			// One machine's tasks end after 10 s, the other's go on for 60.
+			for range 5 {
+				now = now.Add(2 * time.Second)
+				l.observe(a, report(l, a, fleet.Running, ""), false, now)
+				l.observe(b, report(l, b, fleet.Running, ""), false, now)
+			}
+			l.observe(a, report(l, a, fleet.Exited, fleet.CauseDone), false, now)
+			if _, ok := j.pace.typical(8); !ok {
+				t.Fatal("no run times to compare with")
+			}
+			for range 50 {
+				now = now.Add(time.Second)
+				if !cut {
+					l.observe(b, report(l, b, fleet.Running, ""), false, now)
+				}
+				l.checkPace(now)
+			}
+			l.observe(b, report(l, b, fleet.Exited, fleet.CauseDone), false, now)
+			l.checkPace(now)
+			if slow := b.slow(now); slow == cut {
+				t.Errorf("slow: %v", slow)
+			}
+		})
+	}
+}
