A leader that stood still judges no lease and places nothing until its term is known

Nothing of it could be written, but the log misled, and a plan made on an old world is work for nothing.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -172,6 +172,7 @@
 	}
 	// A process that was frozen while it read may have been deposed meanwhile.
 	l.wokeAt, l.unproven = time.Now(), true
+	l.prove()
 	group.Go(func() error { return l.follow(ctx, epoch) })
 	group.Go(func() error { return l.loop(ctx) })
 	return group.Wait()
@@ -250,6 +251,7 @@
 				l.end(errDeposed)
 			case woke.Equal(l.wokeAt):
 				l.unproven = false
+				l.dirty = true
 			}
 		})
 		return nil
@@ -475,9 +477,13 @@
 	l.hears(now)
 	shown := 0
 	for _, r := range l.sortedRigs() {
-		if ev := r.m.CheckLease(l.grant.Term, l.lease, now); len(ev) > 0 {
-			l.d.Log.Info("machine lost", "rig", r.m.Name, "tasks", len(ev))
-			l.events(r, ev, now)
+		// That nobody was answered for a lease is our own doing after we stood
+		// still: who leads now knows better, and if we do it is soon known.
+		if !l.unproven {
+			if ev := r.m.CheckLease(l.grant.Term, l.lease, now); len(ev) > 0 {
+				l.d.Log.Info("machine lost", "rig", r.m.Name, "tasks", len(ev))
+				l.events(r, ev, now)
+			}
 		}
 		l.press(r, now)
 		r.suspect = r.m.Suspect(now)
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -17,8 +17,9 @@
 func (l *Leader) pass(now time.Time) {
 	l.dirty = false
 	l.lastPass = now
-	if !l.loaded || l.d.Catalog() == nil || l.committer.backoff > 0 {
-		// Without records no decision that needs one is made.
+	if !l.loaded || l.d.Catalog() == nil || l.committer.backoff > 0 || l.unproven {
+		// Without records no decision that needs one is made, and none on a
+		// world that may be half a minute old.
 		return
 	}
 	w, jobs := l.world(now)
--- a/internal/leader/stall_test.go
+++ b/internal/leader/stall_test.go
@@ -79,8 +79,13 @@
 			if !l.unproven {
 				t.Fatal("that it stood still was not seen")
 			}
-			l.trade(now)
+			l.tick(now)
+			l.dirty = true
+			l.pass(now)
 			run(l)
+			if j := l.jobs["j-1"]; len(j.seats) > 0 {
+				t.Errorf("%d tasks placed on an old world", len(j.seats))
+			}
 			if *cloud != (cloudCalls{}) {
 				t.Errorf("the cloud was called before the term was looked at: %+v", *cloud)
 			}
