--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -11,7 +11,9 @@
 	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
+	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/ledger"
+	"thornnotch/internal/tuning"
 )
 
 // grown makes a leader of a large site: so many machines, all busy but a few,
@@ -123,6 +125,61 @@
 	}
 }
 
+// written carries out what a checkpoint of the whole site writes, and returns
+// the rows with their number of transactions.
+func written(l *Leader, rows map[string]wal.Row) (txns int) {
+	l.checkpoint()
+	for l.committer.log.Checkpointing() {
+		t := l.next()
+		for _, w := range t.Writes {
+			rows[w.Set] = wal.Row{Key: w.Set, Value: w.V}
+		}
+		txns++
+		l.committed(outcome{epoch: uint64(1000 + txns)})
+	}
+	return txns
+}
+
+// BenchmarkCheckpoint writes the whole state of a large site anew.
+func BenchmarkCheckpoint(b *testing.B) {
+	l, _ := grown(b, 2100, 700)
+	rows := make(map[string]wal.Row)
+	for range b.N {
+		b.ReportMetric(float64(written(l, rows)), "transactions")
+	}
+}
+
+// BenchmarkReplay reads it back at a takeover, with what came on top.
+func BenchmarkReplay(b *testing.B) {
+	l, list := grown(b, 2100, 700)
+	rows := make(map[string]wal.Row)
+	written(l, rows)
+	for i := range tuning.CheckpointAfter {
+		for k := range 20 {
+			l.noteMeta(list[(i*20+k)%len(list)], nil)
+		}
+		t := l.next()
+		for _, w := range t.Writes {
+			rows[w.Set] = wal.Row{Key: w.Set, Value: w.V}
+		}
+		l.committed(outcome{epoch: uint64(5000 + i)})
+	}
+	all := make([]wal.Row, 0, len(rows))
+	size := 0
+	for _, r := range rows {
+		all = append(all, r)
+		size += len(r.Value)
+	}
+	b.ReportMetric(float64(size)/(1<<20), "MB")
+	b.ResetTimer()
+	for range b.N {
+		st, _, err := wal.Read(all)
+		if err != nil || len(st.Rigs) != 2100 {
+			b.Fatalf("%d machines read: %v", len(st.Rigs), err)
+		}
+	}
+}
+
 // offline starts the group of routines that the leader hands calls to, as Run
 // does, so that parts that talk to others can be driven without Run.
 func offline(tb testing.TB, l *Leader) {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -158,6 +158,17 @@
 	})
 }
 
+// working names the machines that run something, as the judge sees it.
+func (s *site) working() map[string]bool {
+	s.judge.mu.Lock()
+	defer s.judge.mu.Unlock()
+	names := map[string]bool{}
+	for _, rig := range s.judge.on {
+		names[rig] = true
+	}
+	return names
+}
+
 // answers tells whether a node answers users; a frozen one does not.
 func (s *site) answers(label string, n int) bool {
 	return s.status(int(label[4]-'0'), fmt.Sprintf("j-%06d", n)) != "0"
@@ -167,12 +178,7 @@
 // their tasks start elsewhere, and then go on. No task runs twice.
 func TestHangingMachines(t *testing.T) {
 	trouble(t, nil, func(s *site, add func(*intake.Job)) {
-		s.judge.mu.Lock()
-		names := map[string]bool{}
-		for _, rig := range s.judge.on {
-			names[rig] = true
-		}
-		s.judge.mu.Unlock()
+		names := s.working()
 		hang := func(on bool) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -195,12 +201,7 @@
 // them. What ran there runs elsewhere, and the dead are replaced and returned.
 func TestManyMachinesDie(t *testing.T) {
 	trouble(t, nil, func(s *site, add func(*intake.Job)) {
-		s.judge.mu.Lock()
-		names := map[string]bool{}
-		for _, rig := range s.judge.on {
-			names[rig] = true
-		}
-		s.judge.mu.Unlock()
+		names := s.working()
 		if len(names) < 2 {
 			s.t.Fatalf("only %d machines at work", len(names))
 		}
