--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,19 +93,21 @@
 	return err
 }
 
-// Serve answers other nodes on l until ctx ends.
-func Serve(ctx context.Context, l net.Listener, src Source) error {
+// Serve answers other nodes on l until ctx ends. It keeps so many connections at
+// most: the oldest makes room, as it may well be left from before a cut, with
+// nobody at its other end to close it.
+func Serve(ctx context.Context, l net.Listener, src Source, most int) error {
 	srv := rpc.NewServer()
 	if err := srv.RegisterName("Mesh", &service{src}); err != nil {
 		return err
 	}
 	var mu sync.Mutex
-	conns := make(map[net.Conn]bool)
+	var conns []net.Conn // oldest first
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
 		mu.Lock()
 		defer mu.Unlock()
-		for c := range conns {
+		for _, c := range conns {
 			c.Close()
 		}
 	})
@@ -124,12 +127,15 @@
 			continue
 		}
 		mu.Lock()
-		conns[c] = true
+		conns = append(conns, c)
+		if len(conns) > most {
+			conns[0].Close() // its routine takes it off the list
+		}
 		mu.Unlock()
 		wg.Go(func() {
 			srv.ServeConn(c)
 			mu.Lock()
-			delete(conns, c)
+			conns = slices.DeleteFunc(conns, func(x net.Conn) bool { return x == c })
 			mu.Unlock()
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"thornnotch/internal/config"
@@ -139,7 +138,6 @@
 	if err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
-	meshListen = netutil.LimitListener(meshListen, max(1, len(n.set.Known))*tuning.MeshConnsPerNode)
 	srv := &http.Server{
 		Handler: mux, ReadHeaderTimeout: tuning.HeaderTimeout, ReadTimeout: tuning.BodyTimeout,
 		IdleTimeout: tuning.IdleTimeout, MaxHeaderBytes: 16 << 10,
@@ -169,7 +167,7 @@
 		defer cancel()
 		return srv.Shutdown(stop)
 	})
-	group.Go(func() error { return mesh.Serve(ctx, meshListen, n) })
+	group.Go(func() error { return mesh.Serve(ctx, meshListen, n, max(1, len(n.set.Known))*tuning.MeshConnsPerNode) })
 	group.Go(func() error { return n.keepCatalog(ctx) })
 	group.Go(func() error { return n.watchHealth(ctx) })
 	group.Go(func() error { return n.watchNeeds(ctx) })
