--- a/internal/leader/wal/wal_test.go
+++ b/internal/leader/wal/wal_test.go
@@ -398,3 +398,90 @@
 		}
 	}
 }
+
+// TestCheckpointThatCantKeepUp: leaders end again and again before the
+// checkpoint that each began anew is whole, until the ring is full. Then no
+// entry that counts is written over, no start is told to stand that does not,
+// and the first leader that lasts long enough brings the log in order again.
+func TestCheckpointThatCantKeepUp(t *testing.T) {
+	s := &store{rows: map[string]Row{}, stamp: map[string]uint64{}}
+	m := newModel()
+	var names []string
+	for i := range 300 {
+		names = append(names, fmt.Sprintf("m-%04d", i))
+		m.live[names[i]] = map[Attempt]bool{}
+	}
+	lim := Limits{ValueBytes: 600, Ops: 4}
+	try, held := uint64(0), 0
+	stood := map[Attempt]string{}
+	lead := func(term uint64, txns int) {
+		head := Head{}
+		if r, ok := s.rows[HeadKey]; ok {
+			if err := json.Unmarshal(r.Value, &head); err != nil {
+				t.Fatal(err)
+			}
+		}
+		m.w = NewWriter(term, lim, head, s.stamp[HeadKey])
+		// What the leader before had planned and not recorded never was.
+		for _, on := range m.live {
+			for a := range on {
+				if stood[a] == "" {
+					delete(on, a)
+				}
+			}
+		}
+		for range txns {
+			try++
+			name, a := names[try%300], Attempt{Piece: fmt.Sprintf("j-%06d/0", try), Try: try, Shift: 1}
+			m.live[name][a] = true
+			m.w.Add(name, a, "j-1", Job{Owner: "x"}, func() { stood[a] = name })
+			if !m.w.Checkpointing() && m.w.Backlog() > tuning.CheckpointAfter {
+				m.w.Checkpoint(slices.Clone(names), nil, m, nil)
+			}
+			was := m.w.Backlog()
+			x := m.w.Next(nil)
+			if x == nil {
+				t.Fatalf("term %d: nothing is written any more", term)
+			}
+			if failed := s.run(x.When, x.Writes); failed != nil {
+				t.Fatal(failed)
+			}
+			m.w.Stood(s.epoch)
+			if m.w.Backlog() > tuning.LogRing-tuning.LogSlack {
+				t.Fatalf("%d entries are to be read", m.w.Backlog())
+			}
+			if m.w.Backlog() == was && m.w.Checkpointing() {
+				held++ // only parts were written
+			}
+		}
+	}
+	check := func() {
+		st, _, err := Read(s.log())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for a, name := range stood {
+			if r := st.Rigs[name]; r == nil || !slices.Contains(r.Attempts, a) {
+				t.Fatalf("%v stood on %s and is not read back", a, name)
+			}
+		}
+	}
+	term := uint64(1)
+	for ; held == 0 && term < 1000; term++ {
+		lead(term, 12)
+	}
+	if held == 0 {
+		t.Fatal("the ring never filled up")
+	}
+	for range 5 {
+		lead(term, 12)
+		term++
+		check()
+	}
+	before := len(stood)
+	lead(term, 600)
+	check()
+	if m.w.Backlog() > 2*tuning.CheckpointAfter || len(stood) < before+400 {
+		t.Errorf("%d entries are to be read, %d starts stand, %d did before", m.w.Backlog(), len(stood), before)
+	}
+}
