--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -129,7 +129,10 @@
 		mu.Lock()
 		conns = append(conns, c)
 		if len(conns) > most {
-			conns[0].Close() // its routine takes it off the list
+			// Off the list at once: it must not be closed again in place of the
+			// next one before its routine has noticed.
+			conns[0].Close()
+			conns = conns[1:]
 		}
 		mu.Unlock()
 		wg.Go(func() {
