--- a/internal/leader/stall_test.go
+++ b/internal/leader/stall_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"thornnotch/internal/fleet"
@@ -37,7 +38,8 @@
 	return nil, nil
 }
 
-// run carries out what calls to others have handed back.
+// run carries out what calls to others have handed back. Within a synctest
+// bubble its wait ends only when nothing else is under way.
 func run(l *Leader) {
 	for {
 		select {
@@ -55,79 +57,85 @@
 func TestStoodStill(t *testing.T) {
 	for _, deposed := range []bool{false, true} {
 		t.Run(fmt.Sprint("deposed ", deposed), func(t *testing.T) {
-			t0 := time.Now()
-			l := testLeader(t)
-			offline(t, l)
-			store, cloud := &termStore{err: ledger.ErrUnavailable}, &cloudCalls{}
-			l.d.Store, l.d.Cloud = store, cloud
-			for i := range 6 {
-				addRig(l, fmt.Sprint("m-", i), []string{"east", "west"}[i%2], t0)
-			}
-			l.market.booting["m-9"] = booting{market.Pool{Type: "g4", Zone: "east"}, t0, t0}
-			addJob(t, l, sweep("j-1", 40), t0)
-			// It stood still from a while ago until now.
-			still := l.lease + tuning.SilentReturn + time.Minute
-			l.goesOn()
-			l.beat = time.Now().Add(-still)
-			for _, r := range l.rigs {
-				r.m.Heard = r.m.Heard.Add(-still)
-			}
-			b := l.market.booting["m-9"]
-			b.since, b.noted = b.since.Add(-still), b.noted.Add(-still)
-			l.market.booting["m-9"] = b
-			now := l.goesOn()
-			if !l.unproven {
-				t.Fatal("that it stood still was not seen")
-			}
-			l.tick(now)
-			l.dirty = true
-			l.pass(now)
-			run(l)
-			if j := l.jobs["j-1"]; len(j.seats) > 0 {
-				t.Errorf("%d tasks placed on an old world", len(j.seats))
-			}
-			if *cloud != (cloudCalls{}) {
-				t.Errorf("the cloud was called before the term was looked at: %+v", *cloud)
-			}
-			for name, r := range l.rigs {
-				if r.leaving {
-					t.Errorf("%s is given up for silence that was ours", name)
-				}
-			}
-			if v := l.marketView(now); v.Have[market.Pool{Type: "g4", Zone: "east"}] != 4 {
-				t.Errorf("machines are to be replaced for silence that was ours: %v", v.Have)
-			}
-			store.err, store.stamp = nil, l.grant.Stamp
-			if deposed {
-				store.stamp++
-			}
-			l.trade(now)
-			run(l)
-			if (l.ended != nil) != deposed {
-				t.Fatalf("ended: %v", l.ended)
-			}
-			if l.unproven != deposed {
-				t.Fatalf("unproven: %v", l.unproven)
-			}
-			if names := l.returns(now); len(names) > 0 {
-				t.Errorf("%v returned as if they had had their time to come up", names)
-			}
-			if deposed {
-				return
-			}
-			l.trade(now)
-			run(l)
-			if cloud.lists+cloud.rents == 0 {
-				t.Errorf("it never deals with the cloud again")
-			}
+			synctest.Test(t, func(t *testing.T) { stoodStill(t, deposed) })
 		})
 	}
 }
 
+func stoodStill(t *testing.T, deposed bool) {
+	t0 := time.Now()
+	l := testLeader(t)
+	offline(t, l)
+	store, cloud := &termStore{err: ledger.ErrUnavailable}, &cloudCalls{}
+	l.d.Store, l.d.Cloud = store, cloud
+	for i := range 6 {
+		addRig(l, fmt.Sprint("m-", i), []string{"east", "west"}[i%2], t0)
+	}
+	l.market.booting["m-9"] = booting{market.Pool{Type: "g4", Zone: "east"}, t0, t0}
+	addJob(t, l, sweep("j-1", 40), t0)
+	// It stood still from a while ago until now.
+	still := l.lease + tuning.SilentReturn + time.Minute
+	l.goesOn()
+	l.beat = time.Now().Add(-still)
+	for _, r := range l.rigs {
+		r.m.Heard = r.m.Heard.Add(-still)
+	}
+	b := l.market.booting["m-9"]
+	b.since, b.noted = b.since.Add(-still), b.noted.Add(-still)
+	l.market.booting["m-9"] = b
+	now := l.goesOn()
+	if !l.unproven {
+		t.Fatal("that it stood still was not seen")
+	}
+	l.tick(now)
+	l.dirty = true
+	l.pass(now)
+	run(l)
+	if j := l.jobs["j-1"]; len(j.seats) > 0 {
+		t.Errorf("%d tasks placed on an old world", len(j.seats))
+	}
+	if *cloud != (cloudCalls{}) {
+		t.Errorf("the cloud was called before the term was looked at: %+v", *cloud)
+	}
+	for name, r := range l.rigs {
+		if r.leaving {
+			t.Errorf("%s is given up for silence that was ours", name)
+		}
+	}
+	if v := l.marketView(now); v.Have[market.Pool{Type: "g4", Zone: "east"}] != 4 {
+		t.Errorf("machines are to be replaced for silence that was ours: %v", v.Have)
+	}
+	store.err, store.stamp = nil, l.grant.Stamp
+	if deposed {
+		store.stamp++
+	}
+	l.trade(now)
+	run(l)
+	if (l.ended != nil) != deposed {
+		t.Fatalf("ended: %v", l.ended)
+	}
+	if l.unproven != deposed {
+		t.Fatalf("unproven: %v", l.unproven)
+	}
+	if names := l.returns(now); len(names) > 0 {
+		t.Errorf("%v returned as if they had had their time to come up", names)
+	}
+	if deposed {
+		return
+	}
+	l.trade(now)
+	run(l)
+	if cloud.lists+cloud.rents == 0 {
+		t.Errorf("it never deals with the cloud again")
+	}
+}
+
 // TestDirectOrdersAreBounded: in a dark zone every direct order hangs. They
 // must not take more sockets than are kept for them, and stops find places
 // that news of the token leaves free.
-func TestDirectOrdersAreBounded(t *testing.T) {
+func TestDirectOrdersAreBounded(t *testing.T) { synctest.Test(t, directOrders) }
+
+func directOrders(t *testing.T) {
 	now := time.Now()
 	l := testLeader(t)
 	offline(t, l)
