--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -44,16 +44,20 @@
 	mirror   *mirror
 	asks     chan ask
 	conds    int // conditions that one transaction takes
+	// submits has a place for each submission under way.
+	submits chan struct{}
 }
 
-// NewServer makes the users' interface.
-func NewServer(store Store, teams []config.Team, txnOps int, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
+// NewServer makes the users' interface. submits is how many submissions it takes
+// at once.
+func NewServer(store Store, teams []config.Team, txnOps, submits int, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
 	finals, err := lru.New[string, Final](tuning.FinalCache)
 	if err != nil {
 		return nil, err
 	}
 	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals,
-		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(txnOps, 1)}, nil
+		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(txnOps, 1),
+		submits: make(chan struct{}, max(submits, 1))}, nil
 }
 
 // Register adds the users' endpoints.
@@ -121,6 +125,15 @@
 	if !ok {
 		return
 	}
+	// More than can be recorded in the time that a user waits are told so at
+	// once; polls and cancellations have their own way.
+	select {
+	case s.submits <- struct{}{}:
+		defer func() { <-s.submits }()
+	default:
+		later(w, "too many submissions at once")
+		return
+	}
 	j, err := DecodeJob(raw)
 	if err != nil {
 		s.log.Debug("malformed submission", "err", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,6 +95,13 @@
 	return n.set.Params.State.RPS * part(n.op.Budgets.LeaderShare), n.set.Params.State.WriteRPS * part(n.op.Budgets.LeaderWriteShare)
 }
 
+// submitsAtOnce is how many submissions this node can have recorded in the time
+// that a user is let wait: each is one change.
+func (n *Node) submitsAtOnce() int {
+	_, changes := n.share(false)
+	return max(tuning.SubmitsLeast, int(changes*(1+tuning.UserPatience.Seconds())))
+}
+
 // FitMachine keeps the Go runtime within the machine's limits.
 func FitMachine(lim config.Limits) {
 	if lim.MemMB > 0 {
@@ -109,7 +116,7 @@
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	users, err := intake.NewServer(n.store, n.set.Params.Teams, n.set.Params.State.TxnOps, func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
+	users, err := intake.NewServer(n.store, n.set.Params.Teams, n.set.Params.State.TxnOps, n.submitsAtOnce(), func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
 	if err != nil {
 		return err
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -357,6 +357,8 @@
 	// UserPatience bounds the work for one submission or cancellation; users
 	// give up after 5 s.
 	UserPatience = 3500 * time.Millisecond
+	// SubmitsLeast is how many submissions a node takes at once at the least.
+	SubmitsLeast = 8
 	// PollPatience is the same for a poll; users give up after 2 s.
 	PollPatience = 1700 * time.Millisecond
 	// ClientTimeout bounds a command's request to a node.
