Holds give way to higher and lifted work for the team's limit; limit goes by priority

Amounts are now measured by the largest share of a machine, so that platforms without GPUs are packed and summed up as others are.

--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -31,6 +31,12 @@
 	for _, e := range plan.Evicts {
 		l.rigs[e.Rig.Name].stale = true
 	}
+	for _, h := range plan.Released {
+		if r := l.rigs[h.Rig.Name]; r != nil && l.book.Use(h.Rig.Name, h.Held.Pipeline) {
+			l.d.Log.Debug("hold given up", "rig", h.Rig.Name, "class", h.Held.Pipeline.Workload)
+			l.lazy(r, now)
+		}
+	}
 	for _, e := range plan.Evicts {
 		l.evict(e, now)
 	}
@@ -62,33 +68,48 @@
 		return
 	}
 	l.lastSummary = now
-	var total, used, ending, held, empty float64
+	// Whole machines, by the resource that each task takes most of.
+	var total, used, ending, held float64
+	empty := 0
 	for _, r := range w.Rigs {
 		if !r.Open {
 			continue
 		}
-		total += r.Total.GPUs
+		total++
 		if len(r.Slots) == 0 && len(r.Held) == 0 {
 			empty++
 		}
+		var u, e, h placement.Room
 		for _, s := range r.Slots {
-			used += s.Room.GPUs
+			u = u.Add(s.Room)
 			if s.Ending {
-				ending += s.Room.GPUs
+				e = e.Add(s.Room)
 			}
 		}
-		for _, h := range r.Held {
-			held += h.Room.GPUs
+		for _, k := range r.Held {
+			h = h.Add(k.Room)
 		}
+		used, ending, held = used+u.Share(r.Total), ending+e.Share(r.Total), held+h.Share(r.Total)
 	}
-	waits := make(map[string]int)
+	waits, lifted := make(map[string]int), 0
 	for _, j := range w.Jobs {
 		waits[j.Spec.Workload] += len(j.Waiting)
+		if j.Overdue != placement.NoLift {
+			lifted++
+		}
+	}
+	// The part of its limit that each team uses, held room included.
+	limits := make(map[string]float64)
+	for name, t := range w.Teams {
+		limits[name] = hundredth(t.Used.Share(t.Max))
 	}
-	l.d.Log.Debug("summary", "gpus", total, "used", used, "ending", ending, "held", held, "empty", empty,
-		"waiting", fmt.Sprint(waits), "booting", len(l.market.booting), "rigs", len(l.rigs))
+	l.d.Log.Debug("summary", "machines", total, "used", hundredth(used), "ending", hundredth(ending), "held", hundredth(held), "empty", empty,
+		"waiting", fmt.Sprint(waits), "lifted", lifted, "limits", fmt.Sprint(limits), "booting", len(l.market.booting), "rigs", len(l.rigs))
 }
 
+// hundredth rounds for the log.
+func hundredth(v float64) float64 { return math.Round(v*100) / 100 }
+
 // spare is how many whole ordinary machines ought to be free for the gangs
 // that are to be expected: as many as came lately. Only gangs that can use no
 // others, may stop nobody, and are meant to start soon need any.
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -14,18 +14,13 @@
 	}
 	p.plan.Unmet = append(p.plan.Unmet, j)
 	if !p.gangWithinLimit(j) {
-		if t := p.Teams[j.Spec.Owner]; j.Overdue != NoLift && t.Kept == (Room{}) {
-			// Its team is at its limit. Lifting alone is no help then: jobs
-			// behind it would go on taking each bit that comes free.
-			t.Kept = Need(j.Spec).Times(len(j.Waiting))
-		}
+		p.makeLimit(j)
 		return
 	}
 	p.makeRoom(j, len(j.Waiting))
 }
 
 func (p *pass) gangWithinLimit(j *Job) bool {
-	t := p.Teams[j.Spec.Owner]
 	extra := Need(j.Spec).Times(len(j.Waiting))
 	// Its pipeline's own holds give way to the gang.
 	for i, room := range p.held[j.Pipeline()] {
@@ -34,7 +29,7 @@
 		}
 		extra = extra.Sub(room)
 	}
-	return t.Allows(extra)
+	return p.allows(j, extra)
 }
 
 // gangRigs finds machines for all waiting tasks, or none.
--- /dev/null
+++ b/internal/placement/limit.go
@@ -0,0 +1,207 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// What a team may use is short where its jobs are many. Then the order of its
+// own jobs has to hold for its limit as it does for machines: what is held for
+// lower work gives way to higher, and lower work takes no part of the limit that
+// higher is waiting for.
+
+// heldOn is a hold with its machine.
+type heldOn struct {
+	rig  *Rig
+	held Held
+}
+
+// givesWay tells whether a hold gives way to the job: its pipeline's own, and
+// those of lower work. A lifted job goes before others of its priority, or
+// before all. Of its team's limit a hold gives way just as on its machine.
+//
+// Without this, holds for work that may not start, as the team's limit is kept
+// for a lifted gang, stand until they lapse, while the gang waits for the limit
+// that they take: both wait for the other for a quarter of an hour.
+func givesWay(h Held, j *Job) bool {
+	switch {
+	case h.Pipeline == j.Pipeline(), j.Overdue == LiftAll:
+		return true
+	case j.Overdue == LiftEqual:
+		return h.Priority <= j.Priority
+	}
+	return h.Priority < j.Priority
+}
+
+// allows tells whether the job's team may use extra on top, once what is held
+// for lower work has given way.
+func (p *pass) allows(j *Job, extra Room) bool {
+	t := p.Teams[j.Spec.Owner]
+	if t.AllowsAt(j.priority(), extra) {
+		return true
+	}
+	return len(p.holds[j.Spec.Owner]) > 0 && t.AllowsAt(j.priority(), extra.Sub(p.yields(j)))
+}
+
+// yields is what is held of the job's team's limit by others and gives way to
+// it. It is asked for machine after machine, so it is kept until a hold ends.
+func (p *pass) yields(j *Job) Room {
+	if p.yieldsTo == j {
+		return p.yielding
+	}
+	p.yieldsTo, p.yielding = j, Room{}
+	for _, h := range p.holds[j.Spec.Owner] {
+		if h.held.Pipeline != j.Pipeline() && givesWay(h.held, j) {
+			p.yielding = p.yielding.Add(h.held.Room)
+		}
+	}
+	return p.yielding
+}
+
+// priority is where the job stands for what is kept of its team's limit.
+func (j *Job) priority() int {
+	if j.Overdue != NoLift {
+		return math.MaxInt
+	}
+	return j.Priority
+}
+
+// unhold takes a hold off its machine and off its team's use.
+func (p *pass) unhold(h heldOn) {
+	p.yieldsTo = nil
+	r, of := h.rig, h.held.Pipeline
+	for i, k := range r.Held {
+		if k == h.held {
+			r.Held = append(append([]Held(nil), r.Held[:i]...), r.Held[i+1:]...)
+			break
+		}
+	}
+	t := p.Teams[of.Owner]
+	if t != nil {
+		t.Used = t.Used.Sub(h.held.Room)
+	}
+	if list := p.held[of]; len(list) > 0 {
+		p.held[of] = list[:len(list)-1]
+	}
+	if at := slices.Index(p.holds[of.Owner], h); at >= 0 {
+		p.holds[of.Owner] = slices.Delete(p.holds[of.Owner], at, at+1)
+	}
+}
+
+// release ends a hold for good.
+func (p *pass) release(h heldOn) {
+	p.unhold(h)
+	p.plan.Released = append(p.plan.Released, Release{h.rig, h.held})
+}
+
+// giveWay ends as many of the holds that give way to the job as its team needs
+// to use extra on top, the lowest first.
+func (p *pass) giveWay(j *Job, extra Room) {
+	t := p.Teams[j.Spec.Owner]
+	var list []heldOn
+	for _, h := range p.holds[j.Spec.Owner] {
+		if givesWay(h.held, j) {
+			list = append(list, h)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b heldOn) int {
+		if own := j.Pipeline(); (a.held.Pipeline == own) != (b.held.Pipeline == own) {
+			if a.held.Pipeline == own {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.held.Priority, b.held.Priority)
+	})
+	for _, h := range list {
+		if t.Allows(extra) {
+			return
+		}
+		p.release(h)
+	}
+}
+
+// makeLimit is called for a gang whose team is at its limit. What is held for
+// work that it goes before gives way at once: that work could not use it. Its
+// team's tasks of lower priority are stopped, as far as the gang needs, and what
+// comes free of the limit is kept for it from lower work, and from equal work
+// too if it is lifted: else jobs behind it go on taking each bit.
+func (p *pass) makeLimit(j *Job) {
+	t := p.Teams[j.Spec.Owner]
+	if t.Kept != (Room{}) {
+		return // for a gang before this one
+	}
+	extra := Need(j.Spec).Times(len(j.Waiting))
+	if !(&Team{Max: t.Max}).Allows(extra) {
+		return
+	}
+	below := j.Priority
+	if j.Overdue != NoLift {
+		below = math.MaxInt
+	}
+	short := extra
+	short = short.Sub(p.ending[j.Spec.Owner])
+	p.giveWay(j, short)
+	if !t.Allows(short) {
+		p.stopOwn(j, short)
+	}
+	t.Kept, t.KeptBelow = extra, below
+}
+
+// stopOwn stops tasks of the job's own team that are lower in priority, until
+// its team could use extra more once they are gone: those that lose least for
+// the room they give.
+func (p *pass) stopOwn(j *Job, extra Room) {
+	t := p.Teams[j.Spec.Owner]
+	type victim struct {
+		rig  *Rig
+		slot Slot
+		cost float64
+	}
+	var list []victim
+	sum := Room{}
+	for _, r := range p.Rigs {
+		if !r.stoppable || r.lowest >= j.Priority {
+			continue
+		}
+		for _, s := range r.Slots {
+			if s.Job != nil && !s.Ending && s.Job.Spec.Owner == j.Spec.Owner && s.Job.Priority < j.Priority {
+				list = append(list, victim{r, s, s.Loss.Seconds()})
+				sum = sum.Add(s.Room)
+			}
+		}
+	}
+	// Stopping what is not enough would only cost.
+	if !t.Allows(extra.Sub(sum)) {
+		return
+	}
+	slices.SortStableFunc(list, func(a, b victim) int {
+		if a.slot.Job.Priority != b.slot.Job.Priority {
+			return cmp.Compare(a.slot.Job.Priority, b.slot.Job.Priority)
+		}
+		return cmp.Compare(a.cost, b.cost)
+	})
+	for _, v := range list {
+		if t.Allows(extra) {
+			return
+		}
+		p.stop(j, v.rig, v.slot)
+		extra = extra.Sub(v.slot.Room)
+	}
+}
+
+// stop has a task stopped for a job.
+func (p *pass) stop(j *Job, r *Rig, s Slot) {
+	p.plan.Evicts = append(p.plan.Evicts, Evict{r, s, j})
+	for i := range r.Slots {
+		if r.Slots[i].Try == s.Try && r.Slots[i].Index == s.Index && r.Slots[i].Job == s.Job {
+			r.Slots[i].Ending = true
+		}
+	}
+	r.ending = r.ending.Add(s.Room)
+	p.able[standing{s.Job.Priority, s.Job.Guaranteed, s.Job.Spec.Owner}]--
+	// It counts toward the team's limit until it is proven gone; only
+	// what the team runs beyond its guarantee shrinks already.
+	p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
+}
--- /dev/null
+++ b/internal/placement/limit_test.go
@@ -0,0 +1,107 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestHoldsGiveWayToLiftedGang guards against Peakdale's steady day: holds of a
+// team's sweeps filled its limit. Once its gang was lifted, what was left of the
+// limit was kept for it, so that the sweeps could not even use their own holds,
+// and these stood for as long as the sweeps waited: nothing of the team ran for
+// the rest of the day.
+func TestHoldsGiveWayToLiftedGang(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		gang, sweep  int // priorities
+		lift         Lift
+		begins       bool
+		sweepsBefore bool
+	}{
+		{"higher", 1, 0, NoLift, true, false},
+		{"equal", 1, 1, NoLift, false, true},
+		{"lifted over equal", 1, 1, LiftEqual, true, false},
+		{"lifted over all", 0, 1, LiftAll, true, false},
+		{"lower", 0, 1, NoLift, false, true},
+	} {
+		gang := sweepJob("j-1", "a", c.gang)
+		gang.Spec.Shape, gang.Spec.Workload, gang.Spec.Pieces, gang.Waiting, gang.Order, gang.Overdue = "gang", "big", 2, []int{0, 1}, 1, c.lift
+		sweep := sweepJob("j-2", "a", c.sweep)
+		sweep.Order, sweep.Spec.Accelerators, sweep.Waiting, sweep.Spec.Pieces = 2, 1, []int{0, 1, 2, 3, 4, 5, 6, 7}, 8
+		w := &World{Jobs: []*Job{gang, sweep}, Teams: map[string]*Team{"a": {Max: Room{GPUs: 8}, Used: Room{GPUs: 8}}}}
+		for i := range 4 {
+			hold := Held{sweep.Pipeline(), c.sweep, Room{1, 1, 1}}
+			r := oneRig(hold, hold)
+			r.Name = fmt.Sprint("m-", i)
+			w.Rigs = append(w.Rigs, r)
+		}
+		p := Decide(w)
+		started := map[string]int{}
+		for _, s := range p.Starts {
+			started[s.Job.Spec.NameID]++
+		}
+		if (started["j-1"] == 2) != c.begins || (started["j-2"] == 8) != c.sweepsBefore {
+			t.Errorf("%s: started %v", c.name, started)
+		}
+		if c.begins != (len(p.Released) == 8) {
+			t.Errorf("%s: %d holds given up", c.name, len(p.Released))
+		}
+		if u := w.Teams["a"].Used; !w.Teams["a"].within(u) || u.GPUs != 8 {
+			t.Errorf("%s: the team uses %v", c.name, u)
+		}
+	}
+}
+
+// TestLimitGoesByPriority guards against Peakdale's first hunts: a team at its
+// limit gave each bit that came free to its idle sweeps, while its standard gangs
+// waited for many minutes. Lower work of the team is stopped as far as the gang
+// needs, and takes nothing of the limit meanwhile; equal work is not touched.
+func TestLimitGoesByPriority(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		running     int // priority of what runs
+		stopped     int
+		nextStarted bool // lower work behind the gang
+	}{
+		{"lower runs", 0, 4, false},
+		{"equal runs", 1, 0, false},
+	} {
+		gang := sweepJob("j-1", "a", 1)
+		gang.Spec.Shape, gang.Spec.Pieces, gang.Waiting, gang.Order = "gang", 2, []int{0, 1}, 1
+		runs, next, other := sweepJob("j-2", "a", c.running), sweepJob("j-3", "a", 0), sweepJob("j-4", "b", 0)
+		for i, j := range []*Job{runs, next, other} {
+			j.Spec.Accelerators, j.Order = 1, uint64(2+i)
+		}
+		runs.Waiting = nil
+		w := &World{Jobs: []*Job{gang, next, other}, Teams: map[string]*Team{
+			"a": {Max: Room{GPUs: 16}, Used: Room{GPUs: 12}}, "b": {Max: Room{GPUs: 16}}}}
+		for i := range 8 {
+			r := oneRig()
+			r.Name = fmt.Sprint("m-", i)
+			if i < 3 {
+				for k := range 4 {
+					r.Slots = append(r.Slots, Slot{Job: runs, Index: 4*i + k, Try: 1, Room: Room{1, 1, 1}, Loss: time.Duration(1+k) * time.Second})
+				}
+			}
+			w.Rigs = append(w.Rigs, r)
+		}
+		p := Decide(w)
+		if len(p.Evicts) != c.stopped {
+			t.Errorf("%s: %d stopped, want %d", c.name, len(p.Evicts), c.stopped)
+		}
+		for _, e := range p.Evicts {
+			if e.Slot.Job != runs || e.Slot.Loss > 2*time.Second {
+				t.Errorf("%s: stopped %v, which loses more than others", c.name, e.Slot)
+			}
+		}
+		for _, s := range p.Starts {
+			if s.Job == gang || s.Job == next {
+				t.Errorf("%s: %s started", c.name, s.Job.Spec.NameID)
+			}
+		}
+		if len(p.Starts) != 1 {
+			t.Errorf("%s: the other team's task did not start", c.name)
+		}
+	}
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -12,7 +12,7 @@
 // Decide runs one pass over the world. It changes the views of machines that
 // it puts work on or stops work on; these must be made anew for the next pass.
 func Decide(w *World) *Plan {
-	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room),
+	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room), holds: make(map[string][]heldOn),
 		able: make(map[standing]int), outside: make(map[string]bool), bits: make(map[standing]uint64)}
 	var running []*Job // whose tasks may be stopped, each once
 	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
@@ -46,6 +46,7 @@
 		}
 		for _, h := range r.Held {
 			p.held[h.Pipeline] = append(p.held[h.Pipeline], h.Room)
+			p.holds[h.Pipeline.Owner] = append(p.holds[h.Pipeline.Owner], heldOn{r, h})
 		}
 	}
 	for _, j := range running {
@@ -139,6 +140,11 @@
 	// standing.
 	held map[Pipeline][]Room
 	able map[standing]int
+	// holds are the same, by team.
+	holds map[string][]heldOn
+	// yieldsTo is the job that yielding was reckoned for.
+	yieldsTo *Job
+	yielding Room
 	// outside are the teams that use more than their guarantee, as far as room
 	// has been sought for the present job; victims is room to list tasks in.
 	outside map[string]bool
@@ -170,9 +176,7 @@
 // guarantee.
 func (h Held) blocks(j *Job) bool {
 	switch {
-	case h.Pipeline == j.Pipeline():
-		return false
-	case j.Priority > h.Priority:
+	case givesWay(h, j):
 		return false
 	case j.Guaranteed && j.Spec.Owner != h.Pipeline.Owner:
 		return false
@@ -282,13 +286,14 @@
 			s += tuning.SpareWhole / float64(p.whole)
 		}
 	}
-	if j.Spec.Shape != "gang" && r.Total.GPUs > 0 {
+	if j.Spec.Shape != "gang" {
+		full := r.used.Share(r.Total)
 		if _, have := r.Cached[j.Spec.Bundle]; have || !r.Spot {
-			s += tuning.SparePart * (1 - r.used.GPUs/r.Total.GPUs)
+			s += tuning.SparePart * (1 - full)
 		} else {
 			// The image must be fetched anyway: on a machine that gangs can't
 			// use it had better come to one more machine than to few.
-			s += tuning.SpareEmpty * r.used.GPUs / r.Total.GPUs
+			s += tuning.SpareEmpty * full
 		}
 	}
 	return s
@@ -303,17 +308,16 @@
 	r.used = r.used.Add(need)
 	r.Seats--
 	p.Teams[j.Spec.Owner].Used = p.Teams[j.Spec.Owner].Used.Add(need)
-	for i, h := range r.Held {
+	for _, h := range r.Held {
 		if h.Pipeline == j.Pipeline() {
 			// The task takes the place of its hold, which counted already.
-			r.Held = append(append([]Held(nil), r.Held[:i]...), r.Held[i+1:]...)
-			p.Teams[j.Spec.Owner].Used = p.Teams[j.Spec.Owner].Used.Sub(h.Room)
-			if list := p.held[h.Pipeline]; len(list) > 0 {
-				p.held[h.Pipeline] = list[:len(list)-1]
-			}
+			p.unhold(heldOn{r, h})
 			break
 		}
 	}
+	if t := p.Teams[j.Spec.Owner]; !t.Allows(Room{}) {
+		p.giveWay(j, Room{})
+	}
 	if j.Zones == nil {
 		j.Zones = make(map[string]int)
 	}
@@ -339,7 +343,7 @@
 			break
 		}
 	}
-	return p.Teams[j.Spec.Owner].Allows(extra)
+	return p.allows(j, extra)
 }
 
 // zoneAllows keeps samePlace and apart with the job's tasks as they stand.
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -68,7 +68,7 @@
 	need := Need(j.Spec)
 	gang := j.Spec.Shape == "gang"
 	mayStop := p.mayStop(j)
-	if !p.Teams[j.Spec.Owner].Allows(need) || !gang && !mayStop {
+	if !p.allows(j, need) || !gang && !mayStop {
 		return
 	}
 	if p.tries++; p.tries > tuning.RoomTries {
@@ -214,10 +214,10 @@
 					break
 				}
 				g = g.Add(s.Room)
-				cost += time.Duration(float64(s.Loss) * max(s.Room.GPUs, 1))
+				cost += time.Duration(float64(s.Loss) * s.Room.Share(r.Total) * tuning.StopWeight)
 				many++
 			}
-			o.cost = cost.Seconds() + r.delay(j)*max(need.GPUs, 1)
+			o.cost = cost.Seconds() + r.delay(j)*need.Share(r.Total)*tuning.StopWeight
 			if o.cost >= worst {
 				return o, false
 			}
@@ -245,20 +245,16 @@
 // prepare keeps a machine for a job and stops what must go.
 func (p *pass) prepare(j *Job, o option, gang bool) {
 	for _, s := range o.victim {
-		p.plan.Evicts = append(p.plan.Evicts, Evict{o.rig, s, j})
-		for i := range o.rig.Slots {
-			if o.rig.Slots[i].Try == s.Try && o.rig.Slots[i].Index == s.Index && o.rig.Slots[i].Job == s.Job {
-				o.rig.Slots[i].Ending = true
-			}
-		}
-		o.rig.ending = o.rig.ending.Add(s.Room)
-		p.able[standing{s.Job.Priority, s.Job.Guaranteed, s.Job.Spec.Owner}]--
-		// It counts toward the team's limit until it is proven gone; only
-		// what the team runs beyond its guarantee shrinks already.
-		p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
+		p.stop(j, o.rig, s)
 	}
 	if gang || len(o.victim) > 0 {
 		o.rig.claimed = j
+		// What is held here for lower work can't be used by it any more.
+		for _, h := range slices.Clone(o.rig.Held) {
+			if h.Pipeline != j.Pipeline() && !h.blocks(j) {
+				p.release(heldOn{o.rig, h})
+			}
+		}
 		p.plan.Claims = append(p.plan.Claims, Claim{j, o.rig})
 	}
 }
--- a/internal/placement/sweep.go
+++ b/internal/placement/sweep.go
@@ -46,7 +46,7 @@
 // image within patience seconds, and tells up to which one it came.
 func (p *pass) sweep(j *Job, from int, patience float64) int {
 	need := Need(j.Spec)
-	if !p.Teams[j.Spec.Owner].Allows(need) && len(p.held[j.Pipeline()]) == 0 {
+	if !p.allows(j, need) && len(p.held[j.Pipeline()]) == 0 {
 		return from
 	}
 	c := p.cands[:0]
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -47,19 +47,44 @@
 	return max(0, int(n))
 }
 
+// Share is the part of a machine of this total that the room takes, by the
+// resource that it takes most of: what is left beside it can't be used by
+// others like it. A machine without GPUs is measured by its CPUs and memory.
+func (r Room) Share(total Room) float64 {
+	share := 0.0
+	for _, d := range [][2]float64{{r.VCPUs, total.VCPUs}, {r.GPUs, total.GPUs}, {r.RAM, total.RAM}} {
+		if d[1] > 0 {
+			share = max(share, d[0]/d[1])
+		}
+	}
+	return share
+}
+
 // Team is one team's levels and what it uses, held room included.
 type Team struct {
 	Name string
 	// Guarantee and Max are its levels; 0 means none. RAM is not limited.
 	Guarantee, Max Room
 	Used           Room
-	// Kept is what of the limit is kept in a pass for a lifted gang.
-	Kept Room
+	// Kept is what of the limit is kept in a pass for a gang of the team, and
+	// KeptBelow from which jobs: those of lower priority.
+	Kept      Room
+	KeptBelow int
+}
+
+// Allows tells whether the team may use extra on top of what it uses.
+func (t *Team) Allows(extra Room) bool { return t.within(t.Used.Add(extra)) }
+
+// AllowsAt is the same for work of a priority, which must leave alone what is
+// kept for higher.
+func (t *Team) AllowsAt(priority int, extra Room) bool {
+	if priority < t.KeptBelow {
+		extra = extra.Add(t.Kept)
+	}
+	return t.Allows(extra)
 }
 
-// Allows tells whether the team may use extra on top.
-func (t *Team) Allows(extra Room) bool {
-	u := t.Used.Add(t.Kept).Add(extra)
+func (t *Team) within(u Room) bool {
 	return (t.Max.VCPUs <= 0 || u.VCPUs <= t.Max.VCPUs+tuning.RoundingSlack) && (t.Max.GPUs <= 0 || u.GPUs <= t.Max.GPUs+tuning.RoundingSlack)
 }
 
@@ -257,11 +282,19 @@
 	Rig *Rig
 }
 
+// Release ends one hold on a machine.
+type Release struct {
+	Rig  *Rig
+	Held Held
+}
+
 // Plan is what a pass decided. The starts of a gang are all there or none.
 type Plan struct {
 	Starts []Start
 	Evicts []Evict
 	Claims []Claim
+	// Released are holds that gave way to work which may take them.
+	Released []Release
 	// Unmet are the jobs, in order, that could not start all their tasks.
 	Unmet []*Job
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -168,6 +168,9 @@
 	// (protocol); EarlyStop is the extra cost of stopping it before.
 	StartCounts = 30 * time.Second
 	EarlyStop   = 5 * time.Second
+	// StopWeight is what stopping the work of a whole machine weighs against
+	// waiting for an image there, second for second.
+	StopWeight = 8.0
 	// ArrivalMemory is how far back the jobs of each class are counted.
 	ArrivalMemory = 5 * time.Minute
 	// LoadEvery is the time between two lines in the log on how much the leader
