Faulty machines told from mistaken jobs by how the job fares elsewhere; deadlines read

Cause, by reading: eight tasks of an array fail together on a faulty machine and hold the whole job back for up to a minute, while the machine stands empty for the next job. Aims of kind deadline, with times, were not read.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -60,12 +60,52 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+// Kinds of aims that the service goes by. Others are ignored: new ones may come.
+const (
+	AimWait      = "wait"      // a job's tasks started within a time
+	AimFinished  = "finished"  // a job done within a time
+	AimDeadline  = "deadline"  // a job done by so many times its due time
+	AimGuarantee = "guarantee" // what fits its team's guarantee started within a time
+)
+
 // Objective is one aim of the users.
 type Objective struct {
-	Kind    string  `toml:"kind"`
-	Class   string  `toml:"class"`
-	WithinS float64 `toml:"within_s"`
-	Share   float64 `toml:"share"`
+	Kind    string   `toml:"kind"`
+	Class   string   `toml:"class"`
+	WithinS float64  `toml:"within_s"`
+	Share   *float64 `toml:"share"`
+	Times   *float64 `toml:"times"`
+}
+
+// Due is by how many times its due time a job is to be done, for an aim of kind
+// deadline.
+func (o Objective) Due() float64 {
+	if o.Times == nil {
+		return 1
+	}
+	return *o.Times
+}
+
+func (o Objective) check(p *problems, key string) {
+	switch o.Kind {
+	case AimWait, AimFinished, AimGuarantee:
+		p.positive(key+".within_s", o.WithinS)
+	case AimDeadline:
+		if o.Times != nil {
+			p.positive(key+".times", *o.Times)
+		}
+	default:
+		return
+	}
+	if o.Kind != AimGuarantee {
+		p.text(key+".class", o.Class)
+	}
+	switch {
+	case o.Share == nil:
+		p.add(key+".share", "is missing")
+	case !(*o.Share > 0 && *o.Share <= 1):
+		p.add(key+".share", "must be above 0 and at most 1, is %v", *o.Share)
+	}
 }
 
 // Workers are the workers' timings, in seconds.
@@ -204,6 +244,9 @@
 			p.add(key+".gpus", "is above gpus_max")
 		}
 	}
+	for i, o := range s.Params.Objectives {
+		o.check(&p, fmt.Sprintf("params.objectives[%d]", i))
+	}
 	w := s.Params.Workers
 	p.positive("params.workers.report_s", w.ReportS)
 	p.positive("params.workers.lease_s", w.LeaseS)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -22,6 +22,20 @@
 name = "vision"
 gpus = 4.0
 gpus_max = 8.0
+[[params.objectives]]
+kind = "wait"
+class = "x"
+within_s = 30.0
+share = 0.9
+[[params.objectives]]
+kind = "deadline"
+class = "y"
+share = 0.8
+times = 1.5
+[[params.objectives]]
+kind = "useful"
+share = 7
+novel = true
 [params.workers]
 report_s = 2.0
 lease_s = 12.0
@@ -53,6 +67,12 @@
 		{`cancel_s = 37.0`, `cancel_s = 10.0`, "params.workers.cancel_s"},
 		{`txn_ops = 12`, `txn_ops = 1`, "params.state.txn_ops"},
 		{`rps = 2.0`, `rps = nan`, "params.cloud.rps"},
+		{`within_s = 30.0`, ``, "params.objectives[0].within_s"},
+		{`share = 0.9`, ``, "params.objectives[0].share"},
+		{`class = "x"`, ``, "params.objectives[0].class"},
+		{`times = 1.5`, `times = -1`, "params.objectives[1].times"},
+		{`times = 1.5`, `times = nan`, "params.objectives[1].times"},
+		{`share = 0.8`, `share = 1.8`, "params.objectives[1].share"},
 		{`count = 2`, `count = "two"`, "count"},
 		{`[params]`, `[params`, "line"},
 	} {
--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -82,7 +82,6 @@
 				}
 			}
 			l.observe(r, rep, false, now)
-			clear(r.errors)
 		}
 		for _, j := range l.jobs {
 			j.notBefore = time.Time{}
--- /dev/null
+++ b/internal/leader/faults_test.go
@@ -0,0 +1,147 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/tuning"
+)
+
+// truth is what really goes on on the machines of a test, by machine.
+type truth struct {
+	l        *Leader
+	faulty   map[string]bool
+	mistaken map[string]bool
+	tasks    map[string]map[fleet.AttemptID]*really
+	starts   map[string]int // by job
+	bad      map[string]int // starts on faulty machines
+	epoch    uint64
+}
+
+type really struct {
+	status, cause string
+	since         time.Time
+}
+
+// step lets the leader decide, and the machines obey and report.
+func (w *truth) step(now time.Time) {
+	w.l.pass(now)
+	w.epoch = settle(w.l, w.epoch)
+	for _, r := range w.l.sortedRigs() {
+		here := w.tasks[r.m.Name]
+		for _, o := range r.m.Orders(true, now) {
+			task, _ := fleet.ParseTaskID(o.Piece)
+			id := fleet.AttemptID{Task: task, Try: o.Try}
+			switch o.Verb {
+			case fleet.Run:
+				if here[id] == nil {
+					here[id] = &really{fleet.Running, "", now}
+					w.starts[task.Job]++
+					if w.faulty[r.m.Name] {
+						w.bad[r.m.Name]++
+					}
+				}
+			case fleet.Stop:
+				if k := here[id]; k != nil && k.status != fleet.Exited {
+					k.status, k.cause = fleet.Exited, "halted"
+				}
+			case fleet.Forget:
+				delete(here, id)
+			}
+		}
+		rep := &fleet.Report{Rig: r.m.Name, RigType: r.m.Type, Hall: r.m.Zone, Shift: 1, Tick: r.m.Tick + 1, Warrant: w.l.grant.Term}
+		for id, k := range here {
+			switch ran := now.Sub(k.since); {
+			case k.status != fleet.Running:
+			case (w.faulty[r.m.Name] || w.mistaken[id.Task.Job]) && ran >= 500*time.Millisecond:
+				k.status, k.cause = fleet.Exited, fleet.CauseError
+			case ran >= 10*time.Second:
+				k.status, k.cause = fleet.Exited, fleet.CauseDone
+			}
+			rep.Pieces = append(rep.Pieces, fleet.Piece{Piece: id.Task.String(), Try: id.Try, Status: k.status, Cause: k.cause})
+		}
+		w.l.observe(r, rep, false, now)
+	}
+	w.epoch = settle(w.l, w.epoch)
+	w.l.judgeAll(now)
+}
+
+// TestFaultyMachinesAndMistakenJobs guards against Peakdale's rough day: eight
+// tasks of an array that met one faulty machine held the whole job back for a
+// minute, and the machine took the next job's. Whatever of both comes together:
+// faulty machines are found by what they were given first, no good machine is
+// taken for faulty, a mistaken job is tried seldom, and the others come to their
+// end soon.
+func TestFaultyMachinesAndMistakenJobs(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Unix(1000, 0)
+		w := &truth{l: testLeader(t), faulty: map[string]bool{}, mistaken: map[string]bool{}, tasks: map[string]map[fleet.AttemptID]*really{},
+			starts: map[string]int{}, bad: map[string]int{}, epoch: 100}
+		w.l.teams[0].GPUsMax = 64
+		w.l.teams[0].GPUs = 64
+		for i := range 12 {
+			name := fmt.Sprintf("m-%02d", i)
+			addRig(w.l, name, "east", now)
+			w.tasks[name] = map[fleet.AttemptID]*really{}
+			w.faulty[name] = i < 2 && rapid.Bool().Draw(rt, "faulty")
+		}
+		sound := 0
+		for i := range rapid.IntRange(2, 6).Draw(rt, "jobs") {
+			spec := sweep(fmt.Sprint("j-", i), rapid.IntRange(1, 8).Draw(rt, "pieces"))
+			if rapid.IntRange(0, 2).Draw(rt, "gang") == 0 {
+				spec.Shape, spec.SamePlace = intake.Gang, true
+			}
+			if i > 0 && rapid.IntRange(0, 3).Draw(rt, "mistaken") == 0 {
+				w.mistaken[spec.NameID] = true
+			} else {
+				sound += spec.Pieces
+			}
+			addJob(t, w.l, spec, now)
+		}
+		for range 45 * 4 {
+			now = now.Add(250 * time.Millisecond)
+			w.step(now)
+		}
+		for name, r := range w.l.rigs {
+			if r.bad && !w.faulty[name] {
+				rt.Fatalf("%s is taken for faulty and is not", name)
+			}
+			if w.bad[name] > 16 {
+				rt.Fatalf("%s was given %d tasks to fail", name, w.bad[name])
+			}
+		}
+		for name, j := range w.l.jobs {
+			if !w.mistaken[name] {
+				rt.Fatalf("%s has %d of %d tasks done after 45 s", name, j.doneN, j.spec.Pieces)
+			}
+			// A first try of all, some machines to find out by, then the pauses
+			// double: one task a try, or all of a gang.
+			if most := 8*j.spec.Pieces + 12; w.starts[name] > most {
+				rt.Fatalf("mistaken %s was started %d times, at most %d", name, w.starts[name], most)
+			}
+		}
+	})
+}
+
+// TestOneTaskThatFailsEverywhere: a task with a mistake in a job that does well
+// otherwise must not have machine after machine given back.
+func TestOneTaskThatFailsEverywhere(t *testing.T) {
+	b := blame{sound: true}
+	now := time.Unix(1000, 0)
+	guilty := 0
+	for i := range 20 {
+		if pause, alone := b.note(fmt.Sprint("m-", i), 7, time.Second, false, now); alone != (i >= tuning.BadTaskMachines) || alone && pause != tuning.RetryMax {
+			t.Fatalf("failure %d: pause %v, alone %v", i, pause, alone)
+		}
+		guilty += len(b.guilty(nil, now))
+		now = now.Add(time.Second)
+	}
+	if guilty != tuning.BadTaskMachines {
+		t.Errorf("%d machines are held guilty of one task's failures", guilty)
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -58,7 +58,10 @@
 	gangTry uint64
 	short   bool
 
-	failures  int
+	// blame is what its failures tell; retry are tasks that must wait after
+	// failing again and again while the others do well.
+	blame     blame
+	retry     []retry
 	notBefore time.Time
 	avoid     map[string]time.Time
 	noted     bool // how it fared among the largest of its class is known
@@ -127,9 +130,10 @@
 	l.d.Log.Debug("job", "id", name, "owner", spec.Owner, "workload", spec.Workload, "pieces", spec.Pieces)
 }
 
-// targets are the latest starts at which a job still meets its users' aims. A
-// class without aims goes by the job's own due time. The image may have to be
-// fetched first.
+// targets are the latest starts at which a job still meets its users' aims, of
+// whichever kind: by a time, or by its due time and some times that. A class
+// without aims goes by the job's own due time. The image may have to be fetched
+// first.
 func (l *Leader) targets(spec *intake.Job) (out []time.Duration) {
 	fetch := 0.0
 	if cat := l.d.Catalog(); cat != nil {
@@ -144,10 +148,14 @@
 			continue
 		}
 		switch o.Kind {
-		case "wait":
+		case config.AimWait:
 			out = append(out, config.Seconds(o.WithinS-fetch))
-		case "finished":
+		case config.AimFinished:
 			out = append(out, config.Seconds(o.WithinS-spec.ExpectS-fetch))
+		case config.AimDeadline:
+			if spec.DueS != nil {
+				out = append(out, config.Seconds(*spec.DueS*o.Due()-spec.ExpectS-fetch))
+			}
 		}
 	}
 	if len(out) == 0 && spec.DueS != nil {
@@ -366,13 +374,7 @@
 		l.finish(r, j, a, now)
 		return
 	case fleet.CauseError:
-		j.failures++
-		j.avoid[r.m.Name] = now.Add(tuning.AvoidFor)
-		j.notBefore = now.Add(min(tuning.RetryMax, tuning.RetryBase<<min(j.failures, 10)))
-		r.failed(j.spec.NameID)
-		if r.faulty() {
-			l.d.Log.Info("machine taken for faulty", "rig", r.m.Name)
-		}
+		l.failedHere(r, j, a, now)
 	case "alone", "mates_gone", "halted":
 		j.again[a.ID.Task.Index] = true
 	default:
@@ -404,7 +406,9 @@
 		j.doneN++
 		l.noteDone(j, a.ID.Task.Index)
 	}
-	j.failures = 0
+	j.blame.sound = true
+	j.blame.clear()
+	r.accusers = nil // it has carried a task to its end
 	l.settleDone(j)
 	if first || j.spec.Shape == intake.Gang {
 		l.reserve(r, j, a, now)
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -39,10 +39,15 @@
 	stale   bool
 	counted []ownerUse
 
-	images  []image // least recently used first
-	errors  map[string]bool
-	waiter  *waiter
-	leaving bool // being returned; it gets no more tasks
+	images []image // least recently used first
+	// bad is set once it is taken for faulty. accusers are the jobs that failed
+	// on it of which it is not known yet whether they fail elsewhere too;
+	// pausedUntil is until when it gets no tasks for that.
+	bad         bool
+	accusers    map[string]bool
+	pausedUntil time.Time
+	waiter      *waiter
+	leaving     bool // being returned; it gets no more tasks
 	// leavingSafe is set once the record says so, or none exists.
 	leavingSafe bool
 	returning   bool
@@ -74,7 +79,7 @@
 func (l *Leader) rig(name string, now time.Time) *rig {
 	r := l.rigs[name]
 	if r == nil {
-		r = &rig{m: fleet.NewMachine(name), since: now, idleSince: now, errors: make(map[string]bool)}
+		r = &rig{m: fleet.NewMachine(name), since: now, idleSince: now}
 		l.rigs[name] = r
 		l.ordered = nil
 		l.touch(r)
@@ -124,15 +129,9 @@
 	}
 }
 
-// failed notes that a job failed here. Only different jobs count: one that
-// was submitted with a mistake fails everywhere.
-func (r *rig) failed(job string) { r.errors[job] = true }
-
-func (r *rig) faulty() bool { return len(r.errors) >= tuning.BadMachineErrors }
-
 // open tells whether new tasks may be put on the machine.
 func (r *rig) open(now time.Time) bool {
-	return r.m.Known && !r.leaving && !r.faulty() && r.m.Recall.IsZero() && r.m.Shift > r.m.EndedShift && !r.slow(now) &&
+	return r.m.Known && !r.leaving && !r.bad && !now.Before(r.pausedUntil) && r.m.Recall.IsZero() && r.m.Shift > r.m.EndedShift && !r.slow(now) &&
 		!r.m.Deaf && !r.m.Doubt && !r.suspect
 }
 
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	for _, o := range l.d.Settings.Params.Objectives {
-		if o.Kind == "wait" && o.Class == spec.Workload && config.Seconds(o.WithinS) <= tuning.SpareAim {
+		if o.Kind == config.AimWait && o.Class == spec.Workload && config.Seconds(o.WithinS) <= tuning.SpareAim {
 			return true
 		}
 	}
@@ -250,7 +250,7 @@
 	v.Weigh(now, l.share(j.spec.Workload))
 	v.Blocked = now.Before(j.notBefore)
 	v.Passed = now.Sub(j.servedAt)
-	if !j.stale && len(j.avoid) == 0 {
+	if !j.stale && len(j.avoid) == 0 && len(j.retry) == 0 {
 		return
 	}
 	j.stale = false
@@ -287,15 +287,25 @@
 		}
 		return
 	}
+	shown := tuning.WaitingShown
+	if j.blame.mistaken() {
+		// One task tells whether it still fails, and takes no room of others.
+		shown = max(0, 1-len(j.seats))
+	}
 	first := true
-	for i := j.low; i < j.spec.Pieces && len(v.Waiting) < tuning.WaitingShown; i++ {
+	for i := j.low; i < j.spec.Pieces; i++ {
 		if j.did.has(i) || len(j.seats[i]) > 0 {
 			continue
 		}
 		if first {
 			j.low, first = i, false
 		}
-		v.Waiting = append(v.Waiting, i)
+		if len(v.Waiting) >= shown {
+			break
+		}
+		if !j.heldBack(i, now) {
+			v.Waiting = append(v.Waiting, i)
+		}
 	}
 	if first {
 		j.low = j.spec.Pieces
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -167,7 +167,7 @@
 		switch {
 		case l.silent(r, now) > l.lease+patience:
 			why = "silent"
-		case r.faulty() && len(r.m.Attempts) == 0:
+		case r.bad && len(r.m.Attempts) == 0:
 			why = "faulty"
 		}
 		if why != "" {
@@ -372,7 +372,7 @@
 	for _, r := range l.rigs {
 		// A silent machine is not counted on: it is replaced before it is
 		// given up.
-		if !r.leaving && !r.faulty() && r.m.Recall.IsZero() && l.silent(r, now) <= l.lease {
+		if !r.leaving && !r.bad && r.m.Recall.IsZero() && l.silent(r, now) <= l.lease {
 			v.Have[r.pool()]++
 		}
 	}
@@ -424,6 +424,7 @@
 	}
 	m.weighed = now
 	l.checkPace(now)
+	l.judgeAll(now)
 	v := l.marketView(now)
 	want := make(map[string]market.Want)
 	for _, t := range v.Catalog.RigTypes {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -146,9 +146,25 @@
 	// again; it doubles with each failure in a row.
 	RetryBase = 1 * time.Second
 	RetryMax  = 60 * time.Second
-	// BadMachineErrors is the number of failures of different jobs after
-	// which a machine is taken for faulty.
-	BadMachineErrors = 2
+	// BadMachineJobs is on how many different jobs' word a machine is taken for
+	// faulty while none of them has done better elsewhere.
+	BadMachineJobs = 3
+	// BadJobMachines is the number of machines a job must fail on, and succeed on
+	// none, to be taken for mistaken: faulty machines are few, so a job rarely
+	// meets three of them before any other.
+	BadJobMachines = 3
+	// BadTaskMachines is the number of machines a single task may fail on, while
+	// others of its job do well, before that speaks against the task.
+	BadTaskMachines = 3
+	// BlameMargin is how much longer a job's task must have run elsewhere than
+	// the one that failed to show that the job does well there: a report's way
+	// and the spread of run times before a mistake shows.
+	BlameMargin = 3 * time.Second
+	// BlamePause is how long a machine gets no tasks after a failure whose cause
+	// is not known yet: long enough for the job's others to run past it.
+	BlamePause = 8 * time.Second
+	// BlameMemory is how long a failure is held against a machine.
+	BlameMemory = 60 * time.Second
 	// AvoidFor is how long a machine is avoided after a failure on it.
 	AvoidFor = 60 * time.Second
 	// StopGrace is added to stashS when a task is told to stop with saving.
