--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -14,7 +14,9 @@
 	}
 	p.plan.Unmet = append(p.plan.Unmet, j)
 	if !p.gangWithinLimit(j) {
-		p.makeLimit(j)
+		if j.Overdue != NoLift {
+			p.makeLimit(j)
+		}
 		return
 	}
 	p.makeRoom(j, len(j.Waiting))
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
 // What a team may use is short where its jobs are many. Then the order of its
 // own jobs has to hold for its limit as it does for machines: what is held for
-// lower work gives way to higher, and lower work takes no part of the limit that
-// higher is waiting for.
+// lower work gives way to higher, and a lifted gang gets its part of it.
 
 // heldOn is a hold with its machine.
 type heldOn struct {
@@ -35,13 +33,13 @@
 }
 
 // allows tells whether the job's team may use extra on top, once what is held
-// for lower work has given way.
+// for lower work has given way. What is kept for a lifted gang is left to it.
 func (p *pass) allows(j *Job, extra Room) bool {
 	t := p.Teams[j.Spec.Owner]
-	if t.AllowsAt(j.priority(), extra) {
-		return true
+	if j.Overdue == NoLift {
+		extra = extra.Add(t.Kept)
 	}
-	return len(p.holds[j.Spec.Owner]) > 0 && t.AllowsAt(j.priority(), extra.Sub(p.yields(j)))
+	return t.Allows(extra) || len(p.holds[j.Spec.Owner]) > 0 && t.Allows(extra.Sub(p.yields(j)))
 }
 
 // yields is what is held of the job's team's limit by others and gives way to
@@ -59,14 +57,6 @@
 	return p.yielding
 }
 
-// priority is where the job stands for what is kept of its team's limit.
-func (j *Job) priority() int {
-	if j.Overdue != NoLift {
-		return math.MaxInt
-	}
-	return j.Priority
-}
-
 // unhold takes a hold off its machine and off its team's use.
 func (p *pass) unhold(h heldOn) {
 	p.yieldsTo = nil
@@ -122,31 +112,23 @@
 	}
 }
 
-// makeLimit is called for a gang whose team is at its limit. What is held for
-// work that it goes before gives way at once: that work could not use it. Its
-// team's tasks of lower priority are stopped, as far as the gang needs, and what
-// comes free of the limit is kept for it from lower work, and from equal work
-// too if it is lifted: else jobs behind it go on taking each bit.
+// makeLimit is called for a lifted gang whose team is at its limit. What is held
+// for work that it goes before gives way at once: that work could not use it.
+// Its team's tasks of lower priority are stopped, as far as the gang needs, and
+// what comes free of the limit is kept for it: else jobs behind it go on taking
+// each bit. A gang that is not lifted waits, and smaller work goes on meanwhile.
 func (p *pass) makeLimit(j *Job) {
 	t := p.Teams[j.Spec.Owner]
-	if t.Kept != (Room{}) {
-		return // for a gang before this one
-	}
 	extra := Need(j.Spec).Times(len(j.Waiting))
-	if !(&Team{Max: t.Max}).Allows(extra) {
-		return
-	}
-	below := j.Priority
-	if j.Overdue != NoLift {
-		below = math.MaxInt
+	if t.Kept != (Room{}) || !(&Team{Max: t.Max}).Allows(extra) {
+		return // kept for another already, or of no use
 	}
-	short := extra
-	short = short.Sub(p.ending[j.Spec.Owner])
+	short := extra.Sub(p.ending[j.Spec.Owner])
 	p.giveWay(j, short)
 	if !t.Allows(short) {
 		p.stopOwn(j, short)
 	}
-	t.Kept, t.KeptBelow = extra, below
+	t.Kept = extra
 }
 
 // stopOwn stops tasks of the job's own team that are lower in priority, until
@@ -205,3 +187,40 @@
 	// what the team runs beyond its guarantee shrinks already.
 	p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
 }
+
+// smallFirst puts the gangs of one rank in a better order where their team's
+// limit can't hold all that waits: those that take least of it first. The users
+// count jobs, whatever their size, and a large gang takes the place of several
+// small ones. That the largest still begin in time is for lifting to see to.
+func (p *pass) smallFirst(jobs []*Job) {
+	var at []int
+	var gangs []*Job
+	for i, j := range jobs {
+		if j.Spec.Shape == "gang" && p.short(j.Spec.Owner) {
+			at, gangs = append(at, i), append(gangs, j)
+		}
+	}
+	size := func(j *Job) float64 { return Need(j.Spec).Times(len(j.Waiting)).Share(p.Teams[j.Spec.Owner].Max) }
+	slices.SortStableFunc(gangs, func(a, b *Job) int { return cmp.Compare(size(a), size(b)) })
+	for i, j := range gangs {
+		jobs[at[i]] = j
+	}
+}
+
+// short tells whether the team's limit is too small for all that it has waiting.
+func (p *pass) short(owner string) bool {
+	is, known := p.shortOf[owner]
+	if !known {
+		if t := p.Teams[owner]; t != nil {
+			sum := Room{}
+			for _, j := range p.Jobs {
+				if j.Spec.Owner == owner && !j.Blocked {
+					sum = sum.Add(Need(j.Spec).Times(len(j.Waiting)))
+				}
+			}
+			is = !t.Allows(sum)
+		}
+		p.shortOf[owner] = is
+	}
+	return is
+}
