--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -47,7 +47,10 @@
 		}
 	}
 	for _, v := range w.Jobs {
-		v.Claims = nil
+		v.Claims, v.Preparing = nil, false
+	}
+	for _, v := range plan.Prepared {
+		v.Preparing = true
 	}
 	for _, c := range plan.Claims {
 		if c.Job.Claims == nil {
@@ -182,7 +185,10 @@
 		}
 		// Placement may put work only on machines that have shown our token:
 		// a report may be a late copy of one from a machine that is no more.
-		r.view.Open = r.view.Total != (placement.Room{}) && r.open(now) && r.m.Warrant == l.grant.Term
+		// One that has not been heard for a few reports may well be dead or cut
+		// off: what is put there would wait until its lease is over.
+		r.view.Open = r.view.Total != (placement.Room{}) && r.open(now) && r.m.Warrant == l.grant.Term &&
+			l.silent(r, now) <= l.quiet()+tuning.IdleHold
 		if r.view.Open && !r.view.Spot {
 			ordinary++
 		}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -6,7 +6,9 @@
 )
 
 func (p *pass) gang(j *Job) {
-	if rigs := p.gangRigs(j); rigs != nil {
+	rigs := p.gangRigs(j)
+	p.unpromise(j)
+	if rigs != nil {
 		for i, r := range rigs {
 			p.put(j, j.Waiting[i], r)
 		}
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -32,12 +32,48 @@
 	return h.Priority < j.Priority
 }
 
+// promise is a part of a team's limit that a gang will need in a moment.
+type promise struct {
+	job  *Job
+	room Room
+}
+
+// promised adds a promise, or renews it.
+func (p *pass) promise(j *Job) {
+	p.unpromise(j)
+	p.promises[j.Spec.Owner] = append(p.promises[j.Spec.Owner], promise{j, Need(j.Spec).Times(len(j.Waiting))})
+}
+
+func (p *pass) unpromise(j *Job) {
+	owner := j.Spec.Owner
+	p.promises[owner] = slices.DeleteFunc(p.promises[owner], func(k promise) bool { return k.job == j })
+}
+
+// keepPromises renews those of the gangs that machines are being emptied for.
+// Else a smaller job of the team takes a bit of the limit meanwhile, the gang
+// can't start, what was stopped for it begins anew on the same machines, and is
+// stopped again for it a moment later: six thousand tasks in half a minute on
+// Peakdale's day with a partition.
+func (p *pass) keepPromises() {
+	for _, j := range p.Jobs {
+		if j.Preparing && len(j.Waiting) > 0 && !j.Blocked && p.Teams[j.Spec.Owner] != nil {
+			p.promise(j)
+		}
+	}
+}
+
 // allows tells whether the job's team may use extra on top, once what is held
-// for lower work has given way. What is kept for a lifted gang is left to it.
+// for lower work has given way. What is kept for a lifted gang or promised to
+// one that waits for room being made is left to it, except by higher work.
 func (p *pass) allows(j *Job, extra Room) bool {
 	t := p.Teams[j.Spec.Owner]
 	if j.Overdue == NoLift {
 		extra = extra.Add(t.Kept)
+		for _, k := range p.promises[j.Spec.Owner] {
+			if k.job != j && k.job.Priority >= j.Priority {
+				extra = extra.Add(k.room)
+			}
+		}
 	}
 	return t.Allows(extra) || len(p.holds[j.Spec.Owner]) > 0 && t.Allows(extra.Sub(p.yields(j)))
 }
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -144,3 +144,45 @@
 		}
 	}
 }
+
+// TestLimitStaysForPreparedGang guards against Peakdale's day with a partition:
+// tasks were stopped for a gang, a small job of its team took a bit of the limit
+// before they had ended, and the gang could not start; what was stopped began anew
+// there and was stopped again, six thousand tasks in half a minute.
+func TestLimitStaysForPreparedGang(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		bitPrio int
+		begins  bool
+	}{{"lower", 0, true}, {"equal", 1, true}, {"higher", 2, false}} {
+		gang := sweepJob("j-1", "a", 1)
+		gang.Spec.Shape, gang.Spec.Pieces, gang.Waiting, gang.Order = "gang", 2, []int{0, 1}, 1
+		low := sweepJob("j-2", "b", 0)
+		low.Waiting = nil
+		w := &World{Jobs: []*Job{gang}, Teams: map[string]*Team{"a": {Max: Room{GPUs: 8}}, "b": {Max: Room{GPUs: 16}, Used: Room{GPUs: 8}}}}
+		for i := range 2 {
+			r := oneRig()
+			r.Name = fmt.Sprint("m-", i)
+			r.Slots = []Slot{{Job: low, Index: i, Try: 1, Room: Need(low.Spec), Loss: time.Second}}
+			w.Rigs = append(w.Rigs, r)
+		}
+		w.Rigs = append(w.Rigs, oneRig())
+		w.Rigs[2].Name, w.Rigs[2].Spot = "m-2", true
+		p := Decide(w)
+		if len(p.Evicts) != 2 || len(p.Prepared) != 1 || p.Prepared[0] != gang {
+			t.Fatalf("%s: %d stopped, %d prepared", c.name, len(p.Evicts), len(p.Prepared))
+		}
+		gang.Preparing, gang.Claims = true, map[string]bool{"m-0": true, "m-1": true}
+		// A small job of the team comes, with a place of its own.
+		bit := sweepJob("j-3", "a", c.bitPrio)
+		bit.Spec.Accelerators, bit.Spec.Loaners, bit.Order = 1, true, 3
+		w2 := &World{Jobs: []*Job{gang, bit}, Rigs: w.Rigs, Teams: map[string]*Team{"a": {Max: Room{GPUs: 8}}, "b": {Max: Room{GPUs: 16}, Used: Room{GPUs: 8}}}}
+		p = Decide(w2)
+		if (len(p.Starts) == 0) != c.begins {
+			t.Errorf("%s: a small job starts: %v", c.name, len(p.Starts) > 0)
+		}
+		if (len(p.Prepared) == 1) != c.begins {
+			t.Errorf("%s: %d prepared", c.name, len(p.Prepared))
+		}
+	}
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -12,7 +12,7 @@
 // Decide runs one pass over the world. It changes the views of machines that
 // it puts work on or stops work on; these must be made anew for the next pass.
 func Decide(w *World) *Plan {
-	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room), holds: make(map[string][]heldOn), shortOf: make(map[string]bool),
+	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room), holds: make(map[string][]heldOn), shortOf: make(map[string]bool), promises: make(map[string][]promise),
 		able: make(map[standing]int), outside: make(map[string]bool), bits: make(map[standing]uint64)}
 	var running []*Job // whose tasks may be stopped, each once
 	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
@@ -63,6 +63,7 @@
 		return 0
 	})
 	p.keepClaims()
+	p.keepPromises()
 	for from := 0; from < len(w.Jobs); {
 		to := from + 1
 		for to < len(w.Jobs) && rankAs(w.Jobs[from], w.Jobs[to]) {
@@ -148,6 +149,8 @@
 	// yieldsTo is the job that yielding was reckoned for.
 	yieldsTo *Job
 	yielding Room
+	// promises are the parts of the teams' limits that gangs will need.
+	promises map[string][]promise
 	// shortOf are the teams whose limit can't hold all that waits.
 	shortOf map[string]bool
 	// outside are the teams that use more than their guarantee, as far as room
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -156,6 +156,16 @@
 		return
 	}
 	p.draining += idle
+	if coming := best[chosen]; gang && idle == 0 && len(coming) > 0 {
+		room := 0
+		for _, o := range coming {
+			room += o.coming
+		}
+		if room >= n {
+			p.promise(j)
+			p.plan.Prepared = append(p.plan.Prepared, j)
+		}
+	}
 	for _, o := range best[chosen] {
 		if n <= 0 {
 			break
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -184,8 +184,10 @@
 	// Passed is how long none of its tasks has been given a place.
 	Passed  time.Duration
 	Blocked bool // may not start now: backing off, or an old attempt stands
-	// Claims are the machines that the last pass kept for the job.
-	Claims map[string]bool
+	// Claims are the machines that the last pass kept for the job; Preparing is
+	// set if it found or made room for all of it there.
+	Claims    map[string]bool
+	Preparing bool
 	// Targets are the latest times after submission at which the job can
 	// start and still meet one aim of its users, in rising order.
 	Targets []time.Duration
@@ -282,6 +284,9 @@
 	Starts []Start
 	Evicts []Evict
 	Claims []Claim
+	// Prepared are the gangs for which there will be room for all of their tasks
+	// once what ends has ended.
+	Prepared []*Job
 	// Released are holds that gave way to work which may take them.
 	Released []Release
 	// Unmet are the jobs, in order, that could not start all their tasks.
