--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -224,15 +224,61 @@
 	p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
 }
 
-// smallFirst puts the gangs of one rank in a better order where their team's
-// limit can't hold all that waits: those that take least of it first. The users
-// count jobs, whatever their size, and a large gang takes the place of several
+// orderAtLimit changes the order of a team's own jobs where its limit can't hold
+// all that waits; the places of other teams' jobs stay as they are. A job that
+// can meet none of its aims any more goes behind those of its team that can, even
+// lower ones: taking the limit from them helps nobody's aims. And of gangs alike
+// in this and in priority, those that take least of the limit go first: the users
+// count jobs, whatever their size, and a large one takes the place of several
 // small ones. That the largest still begin in time is for lifting to see to.
+func (p *pass) orderAtLimit() {
+	at := make(map[string][]int)
+	for i, j := range p.Jobs {
+		if j.Overdue == NoLift && p.Teams[j.Spec.Owner] != nil {
+			at[j.Spec.Owner] = append(at[j.Spec.Owner], i)
+		}
+	}
+	for owner, places := range at {
+		if len(places) < 2 || !p.short(owner) {
+			continue
+		}
+		jobs := make([]*Job, len(places))
+		for i, k := range places {
+			jobs[i] = p.Jobs[k]
+		}
+		slices.SortStableFunc(jobs, func(a, b *Job) int {
+			if a.missed() != b.missed() {
+				if b.missed() {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(b.Priority, a.Priority)
+		})
+		for from := 0; from < len(jobs); {
+			to := from + 1
+			for to < len(jobs) && jobs[to].missed() == jobs[from].missed() && jobs[to].Priority == jobs[from].Priority {
+				to++
+			}
+			p.smallFirst(jobs[from:to])
+			from = to
+		}
+		for i, k := range places {
+			p.Jobs[k] = jobs[i]
+		}
+	}
+}
+
+// missed tells whether the job had aims and can meet none any more.
+func (j *Job) missed() bool { return j.Late && len(j.Targets) > 0 }
+
+// smallFirst sorts the gangs of a list by what they take of their team's limit,
+// in the places that gangs have there.
 func (p *pass) smallFirst(jobs []*Job) {
 	var at []int
 	var gangs []*Job
 	for i, j := range jobs {
-		if j.Spec.Shape == "gang" && p.short(j.Spec.Owner) {
+		if j.Spec.Shape == "gang" {
 			at, gangs = append(at, i), append(gangs, j)
 		}
 	}
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -186,3 +186,45 @@
 		}
 	}
 }
+
+// TestMissedGoBehindAtTheLimit guards against Peakdale's days: large gangs that
+// had long missed their aims took the limit from their team's sweeps, which then
+// missed theirs. Where the limit is not short, or the sweeps are late too,
+// priority decides, and other teams' jobs are not touched.
+func TestMissedGoBehindAtTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		gangLate, sweepLate bool
+		max                 float64
+		want                string // the first of the team's to start
+	}{
+		{"both in time", false, false, 8, "j-1"},
+		{"gang late", true, false, 8, "j-2"},
+		{"both late", true, true, 8, "j-1"},
+		{"limit is enough", true, false, 64, "j-1"},
+	} {
+		gang, sweep, other := sweepJob("j-1", "a", 1), sweepJob("j-2", "a", 0), sweepJob("j-3", "b", 0)
+		gang.Spec.Shape, gang.Spec.Pieces, gang.Waiting = "gang", 2, []int{0, 1}
+		w := &World{Jobs: []*Job{gang, sweep, other}, Teams: map[string]*Team{"a": {Max: Room{GPUs: c.max}}, "b": {Max: Room{GPUs: 8}}}}
+		for i, j := range w.Jobs {
+			j.Order, j.Targets = uint64(i), []time.Duration{time.Minute}
+		}
+		gang.Late, sweep.Late = c.gangLate, c.sweepLate
+		for i := range 4 {
+			r := oneRig()
+			r.Name = fmt.Sprint("m-", i)
+			w.Rigs = append(w.Rigs, r)
+		}
+		first, others := "", 0
+		for _, s := range Decide(w).Starts {
+			if s.Job.Spec.Owner == "b" {
+				others++
+			} else if first == "" {
+				first = s.Job.Spec.NameID
+			}
+		}
+		if first != c.want || others != 1 {
+			t.Errorf("%s: %q starts first, want %s; the other team started %d", c.name, first, c.want, others)
+		}
+	}
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -62,6 +62,7 @@
 		}
 		return 0
 	})
+	p.orderAtLimit()
 	p.keepClaims()
 	p.keepPromises()
 	for from := 0; from < len(w.Jobs); {
@@ -90,9 +91,6 @@
 		from int
 	}
 	var again []rest
-	if jobs[0].Overdue == NoLift {
-		p.smallFirst(jobs)
-	}
 	for _, j := range jobs {
 		if j.Blocked || len(j.Waiting) == 0 || p.Teams[j.Spec.Owner] == nil {
 			continue
