--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -203,26 +203,43 @@
 		return
 	}
 	fmt.Fprintf(w, "\nterm %d, %d machines booting, %d leaving, records written: %v\n", c.Term, c.Booting, c.Leaving, c.State.Healthy)
-	fmt.Fprintln(w, "\nTYPE\tZONE\tKIND\tUP\tBUSY\tGPUS USED")
+	fmt.Fprintln(w, "\nTYPE\tZONE\tKIND\tUP\tBUSY\tMACHINES USED\tGPUS USED\tFAULTY")
 	for _, m := range c.Machines {
 		kind := "ordinary"
 		if m.Spot {
 			kind = "spot"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.0f\n", m.Type, m.Zone, kind, m.Up, m.Busy, m.GPUs)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.1f\t%.0f\t%d\n", m.Type, m.Zone, kind, m.Up, m.Busy, m.Used, m.GPUs, m.Faulty)
 	}
 	fmt.Fprintln(w, "\nCLASS\tTEAM\tJOBS\tWAITING\tRUNNING\tDONE")
 	for _, q := range c.Queue {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", q.Class, q.Team, q.Jobs, q.Waiting, q.Running, q.Done)
 	}
-	fmt.Fprintln(w, "\nTEAM\tCPUS\tGPUS\tHELD GPUS\tGUARANTEED GPUS\tLIMIT GPUS")
+	fmt.Fprintln(w, "\nTEAM\tOF\tUSED\tHELD\tGUARANTEED\tLIMIT")
 	for _, t := range c.Teams {
-		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n", t.Team, t.CPUs, t.GPUs, t.HeldGPUs, t.GPUsOwn, t.GPUsLimit)
+		// Only what the team has a level of, or uses: platforms without GPUs
+		// have no such rows.
+		for _, k := range []struct {
+			what                   string
+			used, held, own, limit float64
+		}{{"GPUs", t.GPUs, t.HeldGPUs, t.GPUsOwn, t.GPUsLimit}, {"CPUs", t.CPUs, t.HeldCPUs, t.CPUsOwn, t.CPUsLimit}} {
+			if k.used > 0 || k.own > 0 || k.limit > 0 {
+				fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%s\n", t.Team, k.what, k.used, k.held, k.own, level(k.limit))
+			}
+		}
 	}
 	if len(c.Holds) > 0 {
-		fmt.Fprintln(w, "\nHELD ON\tTEAM\tCLASS\tFOR JOB\tGPUS\tLAPSES IN")
+		fmt.Fprintln(w, "\nHELD ON\tTEAM\tCLASS\tFOR JOB\tCPUS\tGPUS\tLAPSES IN")
 		for _, h := range c.Holds {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f\t%v\n", h.Rig, h.Team, h.Class, h.Job, h.GPUs, time.Duration(h.LapsesIn*float64(time.Second)).Round(time.Second))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f\t%.0f\t%v\n", h.Rig, h.Team, h.Class, h.Job, h.CPUs, h.GPUs, time.Duration(h.LapsesIn*float64(time.Second)).Round(time.Second))
 		}
 	}
 }
+
+// level shows a limit, which 0 means there is none of.
+func level(v float64) string {
+	if v <= 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%.0f", v)
+}
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -46,6 +46,11 @@
 	Up   int     `json:"up"`
 	Busy int     `json:"busy"`
 	GPUs float64 `json:"gpusUsed"`
+	// Used is the same in whole machines, each task by the resource that it
+	// takes most of: what counts where machines have no GPUs.
+	Used float64 `json:"machinesUsed"`
+	// Faulty are those taken for faulty that have not been returned yet.
+	Faulty int `json:"faulty"`
 }
 
 // QueueCount counts one team's jobs of one class.
@@ -63,6 +68,7 @@
 	Team      string  `json:"team"`
 	CPUs      float64 `json:"cpus"`
 	GPUs      float64 `json:"gpus"`
+	HeldCPUs  float64 `json:"cpusHeld"`
 	HeldGPUs  float64 `json:"gpusHeld"`
 	CPUsOwn   float64 `json:"cpusGuaranteed"`
 	GPUsOwn   float64 `json:"gpusGuaranteed"`
@@ -76,6 +82,7 @@
 	Team     string  `json:"team"`
 	Class    string  `json:"class"`
 	Job      string  `json:"job"`
+	CPUs     float64 `json:"cpus"`
 	GPUs     float64 `json:"gpus"`
 	LapsesIn float64 `json:"lapsesInS"`
 }
@@ -122,6 +129,11 @@
 		if l.busy(r) {
 			c.Busy++
 		}
+		if r.bad {
+			c.Faulty++
+		}
+		typ, _ := l.d.Catalog().Type(r.m.Type)
+		c.Used += l.used(r).Share(placement.Room{VCPUs: typ.VCPUs, GPUs: typ.Accelerators, RAM: typ.RAMGB})
 		for _, a := range r.m.Attempts {
 			if a.Live() {
 				need, owner := l.needOf(a), l.ownerOf(a)
@@ -145,7 +157,7 @@
 	})
 	for _, h := range l.book.All() {
 		held[h.Pipeline.Owner] = held[h.Pipeline.Owner].Add(h.Room)
-		st.Holds = append(st.Holds, HoldView{h.Rig, h.Pipeline.Owner, h.Pipeline.Workload, h.Downstream, h.Room.GPUs, h.Expires.Sub(now).Seconds()})
+		st.Holds = append(st.Holds, HoldView{h.Rig, h.Pipeline.Owner, h.Pipeline.Workload, h.Downstream, h.Room.VCPUs, h.Room.GPUs, h.Expires.Sub(now).Seconds()})
 	}
 	queue := make(map[placement.Pipeline]*QueueCount)
 	for _, j := range l.jobs {
@@ -180,7 +192,7 @@
 	})
 	for _, t := range l.teams {
 		u, h := use[t.Name], held[t.Name]
-		st.Teams = append(st.Teams, TeamUse{Team: t.Name, CPUs: u.VCPUs + h.VCPUs, GPUs: u.GPUs + h.GPUs, HeldGPUs: h.GPUs,
+		st.Teams = append(st.Teams, TeamUse{Team: t.Name, CPUs: u.VCPUs + h.VCPUs, GPUs: u.GPUs + h.GPUs, HeldCPUs: h.VCPUs, HeldGPUs: h.GPUs,
 			CPUsOwn: t.CPUs, GPUsOwn: t.GPUs, CPUsLimit: t.CPUsMax, GPUsLimit: t.GPUsMax})
 	}
 	return st
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -174,15 +174,24 @@
 		put(desc("machines_up", "Machines up.", "type", "zone", "kind"), float64(m.Up), m.Type, m.Zone, kind[m.Spot])
 		put(desc("machines_busy", "Machines with tasks.", "type", "zone", "kind"), float64(m.Busy), m.Type, m.Zone, kind[m.Spot])
 	}
+	for _, m := range st.Machines {
+		put(desc("machines_used", "What tasks take, in whole machines.", "type", "zone", "kind"), m.Used, m.Type, m.Zone, kind[m.Spot])
+		put(desc("machines_faulty", "Machines taken for faulty.", "type", "zone", "kind"), float64(m.Faulty), m.Type, m.Zone, kind[m.Spot])
+	}
 	put(desc("machines_booting", "Machines rented that have not reported."), float64(st.Booting))
 	for _, q := range st.Queue {
 		put(desc("tasks_waiting", "Tasks that do not run yet.", "class", "team"), float64(q.Waiting), q.Class, q.Team)
 		put(desc("tasks_running", "Tasks on machines.", "class", "team"), float64(q.Running), q.Class, q.Team)
 	}
 	for _, t := range st.Teams {
-		put(desc("team_gpus", "GPUs that a team uses, held ones included.", "team"), t.GPUs, t.Team)
-		put(desc("team_gpus_held", "GPUs held for a team's pipelines.", "team"), t.HeldGPUs, t.Team)
-		put(desc("team_gpus_limit", "GPUs that a team may use.", "team"), t.GPUsLimit, t.Team)
-		put(desc("team_gpus_guaranteed", "GPUs that a team is guaranteed.", "team"), t.GPUsOwn, t.Team)
+		for _, k := range []struct {
+			name, unit             string
+			used, held, limit, own float64
+		}{{"gpus", "GPUs", t.GPUs, t.HeldGPUs, t.GPUsLimit, t.GPUsOwn}, {"cpus", "CPUs", t.CPUs, t.HeldCPUs, t.CPUsLimit, t.CPUsOwn}} {
+			put(desc("team_"+k.name, k.unit+" that a team uses, held ones included.", "team"), k.used, t.Team)
+			put(desc("team_"+k.name+"_held", k.unit+" held for a team's pipelines.", "team"), k.held, t.Team)
+			put(desc("team_"+k.name+"_limit", k.unit+" that a team may use; 0: none set.", "team"), k.limit, t.Team)
+			put(desc("team_"+k.name+"_guaranteed", k.unit+" that a team is guaranteed.", "team"), k.own, t.Team)
+		}
 	}
 }
