Missed jobs leave the limit to lower ones in time, in place of a changed order

The queue's order is kept now; a late gang only leaves the limit that lower jobs of its team still in time need.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -68,7 +68,7 @@
 func (p *pass) allows(j *Job, extra Room) bool {
 	t := p.Teams[j.Spec.Owner]
 	if j.Overdue == NoLift {
-		extra = extra.Add(t.Kept)
+		extra = extra.Add(t.Kept).Add(p.leaves(j))
 		for _, k := range p.promises[j.Spec.Owner] {
 			if k.job != j && k.job.Priority >= j.Priority {
 				extra = extra.Add(k.room)
@@ -224,69 +224,70 @@
 	p.ending[s.Job.Spec.Owner] = p.ending[s.Job.Spec.Owner].Add(s.Room)
 }
 
-// orderAtLimit changes the order of a team's own jobs where its limit can't hold
-// all that waits; the places of other teams' jobs stay as they are. A job that
-// can meet none of its aims any more goes behind those of its team that can, even
-// lower ones: taking the limit from them helps nobody's aims. And of gangs alike
-// in this and in priority, those that take least of the limit go first: the users
-// count jobs, whatever their size, and a large one takes the place of several
-// small ones. That the largest still begin in time is for lifting to see to.
-func (p *pass) orderAtLimit() {
-	at := make(map[string][]int)
-	for i, j := range p.Jobs {
-		if j.Overdue == NoLift && p.Teams[j.Spec.Owner] != nil {
-			at[j.Spec.Owner] = append(at[j.Spec.Owner], i)
+// missed tells whether the job had aims and can meet none any more.
+func (j *Job) missed() bool { return j.Late && len(j.Targets) > 0 && j.Overdue == NoLift }
+
+// smallFirst puts the gangs of one rank in a better order where their team's
+// limit can't hold all that waits, each team's in the places that its gangs have:
+// those that can meet an aim first, and of these the ones that take least of the
+// limit. The users count jobs, whatever their size, and a large gang takes the
+// place of several small ones. That the largest still begin in time is for
+// lifting to see to.
+func (p *pass) smallFirst(jobs []*Job) {
+	places := make(map[string][]int)
+	for i, j := range jobs {
+		if j.Spec.Shape == "gang" && p.short(j.Spec.Owner) {
+			places[j.Spec.Owner] = append(places[j.Spec.Owner], i)
 		}
 	}
-	for owner, places := range at {
-		if len(places) < 2 || !p.short(owner) {
-			continue
+	for owner, at := range places {
+		size := func(j *Job) float64 { return Need(j.Spec).Times(len(j.Waiting)).Share(p.Teams[owner].Max) }
+		gangs := make([]*Job, len(at))
+		for i, k := range at {
+			gangs[i] = jobs[k]
 		}
-		jobs := make([]*Job, len(places))
-		for i, k := range places {
-			jobs[i] = p.Jobs[k]
-		}
-		slices.SortStableFunc(jobs, func(a, b *Job) int {
+		slices.SortStableFunc(gangs, func(a, b *Job) int {
 			if a.missed() != b.missed() {
 				if b.missed() {
 					return -1
 				}
 				return 1
 			}
-			return cmp.Compare(b.Priority, a.Priority)
+			return cmp.Compare(size(a), size(b))
 		})
-		for from := 0; from < len(jobs); {
-			to := from + 1
-			for to < len(jobs) && jobs[to].missed() == jobs[from].missed() && jobs[to].Priority == jobs[from].Priority {
-				to++
-			}
-			p.smallFirst(jobs[from:to])
-			from = to
-		}
-		for i, k := range places {
-			p.Jobs[k] = jobs[i]
+		for i, k := range at {
+			jobs[k] = gangs[i]
 		}
 	}
 }
 
-// missed tells whether the job had aims and can meet none any more.
-func (j *Job) missed() bool { return j.Late && len(j.Targets) > 0 }
-
-// smallFirst sorts the gangs of a list by what they take of their team's limit,
-// in the places that gangs have there.
-func (p *pass) smallFirst(jobs []*Job) {
-	var at []int
-	var gangs []*Job
-	for i, j := range jobs {
-		if j.Spec.Shape == "gang" {
-			at, gangs = append(at, i), append(gangs, j)
-		}
+// leaves is what a job that can meet none of its aims any more leaves of its
+// team's limit: what lower jobs of the team wait for that still can. Taking it
+// from them would help nobody's aims.
+//
+// The job's place in the queue stays as it is: whoever may stop another's tasks
+// must stand before it, or the room goes back to what was stopped, pass after pass.
+func (p *pass) leaves(j *Job) Room {
+	if !j.missed() || !p.short(j.Spec.Owner) {
+		return Room{}
 	}
-	size := func(j *Job) float64 { return Need(j.Spec).Times(len(j.Waiting)).Share(p.Teams[j.Spec.Owner].Max) }
-	slices.SortStableFunc(gangs, func(a, b *Job) int { return cmp.Compare(size(a), size(b)) })
-	for i, j := range gangs {
-		jobs[at[i]] = j
+	k := ownerAt{j.Spec.Owner, j.Priority}
+	sum, known := p.inTime[k]
+	if !known {
+		for _, o := range p.Jobs {
+			if o.Spec.Owner == k.owner && o.Priority < k.priority && !o.Blocked && !o.Late {
+				sum = sum.Add(Need(o.Spec).Times(len(o.Waiting)))
+			}
+		}
+		p.inTime[k] = sum
 	}
+	return sum
+}
+
+// ownerAt is a team's work below a priority.
+type ownerAt struct {
+	owner    string
+	priority int
 }
 
 // short tells whether the team's limit is too small for all that it has waiting.
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -12,7 +12,7 @@
 // Decide runs one pass over the world. It changes the views of machines that
 // it puts work on or stops work on; these must be made anew for the next pass.
 func Decide(w *World) *Plan {
-	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room), holds: make(map[string][]heldOn), shortOf: make(map[string]bool), promises: make(map[string][]promise),
+	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room), holds: make(map[string][]heldOn), shortOf: make(map[string]bool), inTime: make(map[ownerAt]Room), promises: make(map[string][]promise),
 		able: make(map[standing]int), outside: make(map[string]bool), bits: make(map[standing]uint64)}
 	var running []*Job // whose tasks may be stopped, each once
 	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
@@ -62,7 +62,6 @@
 		}
 		return 0
 	})
-	p.orderAtLimit()
 	p.keepClaims()
 	p.keepPromises()
 	for from := 0; from < len(w.Jobs); {
@@ -91,6 +90,9 @@
 		from int
 	}
 	var again []rest
+	if jobs[0].Overdue == NoLift {
+		p.smallFirst(jobs)
+	}
 	for _, j := range jobs {
 		if j.Blocked || len(j.Waiting) == 0 || p.Teams[j.Spec.Owner] == nil {
 			continue
@@ -151,6 +153,8 @@
 	promises map[string][]promise
 	// shortOf are the teams whose limit can't hold all that waits.
 	shortOf map[string]bool
+	// inTime is what teams' jobs below a priority wait for that can meet an aim.
+	inTime map[ownerAt]Room
 	// outside are the teams that use more than their guarantee, as far as room
 	// has been sought for the present job; victims is room to list tasks in.
 	outside map[string]bool
