--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -123,6 +123,8 @@
 	largest map[string]*largest // by class
 	// arrivals counts the jobs of each class, older ones for less.
 	arrivals map[string]float64
+	// rates are the tasks of each class placed a second, of late.
+	rates rates
 }
 
 // New makes a leader for the granted term. Run must be called next.
@@ -138,6 +140,7 @@
 		finished:  make(map[string]bool),
 		ghosts:    make(map[string]*ghost),
 		arrivals:  make(map[string]float64),
+		rates:     make(rates),
 		largest:   make(map[string]*largest),
 		pipelines: make(map[placement.Pipeline][]*job),
 		use:       make(map[string]placement.Room),
@@ -474,6 +477,7 @@
 	for class := range l.arrivals {
 		l.arrivals[class] *= 1 - tuning.TickEvery.Seconds()/tuning.ArrivalMemory.Seconds()
 	}
+	l.rates.fade(tuning.TickEvery)
 	l.hears(now)
 	shown := 0
 	for _, r := range l.sortedRigs() {
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -167,7 +167,7 @@
 // world shows the present state to placement. Machines and jobs that have not
 // changed are shown as before.
 func (l *Leader) world(now time.Time) (*placement.World, map[string]*job) {
-	w := &placement.World{Now: now, Teams: make(map[string]*placement.Team)}
+	w := &placement.World{Now: now, Teams: make(map[string]*placement.Team), Rate: l.rates}
 	all := make([]*placement.Job, 0, len(l.jobs))
 	for _, j := range l.jobs {
 		if j.closing {
@@ -397,6 +397,7 @@
 			Shift: r.m.Shift, PlannedAt: now}
 		r.m.Attempts[a.ID] = a
 		j.servedAt = now
+		l.rates.add(j.spec.Workload)
 		l.occupy(r, a)
 		l.noteAdd(r, a)
 		if l.book.Use(r.m.Name, j.view.Pipeline()) {
@@ -408,3 +409,15 @@
 		l.d.Log.Debug("placed", "piece", a.ID.Task, "try", try, "rig", r.m.Name)
 	}
 }
+
+// rates are the tasks of each class that are placed a second, older ones counted
+// for less.
+type rates map[string]float64
+
+func (r rates) add(class string) { r[class] += 1 / tuning.RateMemory.Seconds() }
+
+func (r rates) fade(d time.Duration) {
+	for class := range r {
+		r[class] *= 1 - d.Seconds()/tuning.RateMemory.Seconds()
+	}
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -92,6 +92,7 @@
 	var again []rest
 	if jobs[0].Overdue == NoLift {
 		p.smallFirst(jobs)
+		p.spareInTime(jobs)
 	}
 	for _, j := range jobs {
 		if j.Blocked || len(j.Waiting) == 0 || p.Teams[j.Spec.Owner] == nil {
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -199,6 +199,8 @@
 	// until the next one, or else how far back the job stands among the late.
 	Late  bool
 	Slack time.Duration
+	// Left is the time left to the next target, not scaled; zero when late.
+	Left time.Duration
 
 	tally int    // of its tasks, while a pass counts them
 	bit   uint64 // its standing among those that run in the pass
@@ -216,11 +218,11 @@
 	age := now.Sub(j.Submitted)
 	for _, t := range j.Targets {
 		if t > age {
-			j.Late, j.Slack = false, time.Duration(float64(t-age)*share)
+			j.Late, j.Left, j.Slack = false, t-age, time.Duration(float64(t-age)*share)
 			return
 		}
 	}
-	j.Late = true
+	j.Late, j.Left = true, 0
 	var last time.Duration
 	if n := len(j.Targets); n > 0 {
 		last = j.Targets[n-1]
@@ -248,6 +250,9 @@
 	// Spare is how many whole ordinary machines are left to gangs that can use
 	// no others by jobs that can.
 	Spare int
+	// Rate is how many tasks of each class have been given a place a second
+	// lately; a class not named has had none.
+	Rate map[string]float64
 
 	// thorough has all machines looked at where a pass need not; tests compare.
 	thorough bool
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -189,6 +189,9 @@
 	StopWeight = 8.0
 	// ArrivalMemory is how far back the jobs of each class are counted.
 	ArrivalMemory = 5 * time.Minute
+	// RateMemory is how far back the tasks placed of each class are counted, to
+	// tell how soon those that wait will be: a few run times of short tasks.
+	RateMemory = 30 * time.Second
 	// LoadEvery is the time between two lines in the log on how much the leader
 	// has to do.
 	LoadEvery = 30 * time.Second
