--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -25,15 +25,7 @@
 }
 
 func (p *pass) gangWithinLimit(j *Job) bool {
-	extra := Need(j.Spec).Times(len(j.Waiting))
-	// Its pipeline's own holds give way to the gang.
-	for i, room := range p.held[j.Pipeline()] {
-		if i == len(j.Waiting) {
-			break
-		}
-		extra = extra.Sub(room)
-	}
-	return p.allows(j, extra)
+	return p.allows(j, Need(j.Spec).Times(len(j.Waiting)))
 }
 
 // gangRigs finds machines for all waiting tasks, or none.
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -78,15 +78,16 @@
 	return t.Allows(extra) || len(p.holds[j.Spec.Owner]) > 0 && t.Allows(extra.Sub(p.yields(j)))
 }
 
-// yields is what is held of the job's team's limit by others and gives way to
-// it. It is asked for machine after machine, so it is kept until a hold ends.
+// yields is what is held of the job's team's limit and gives way to it, its own
+// pipeline's holds among it: whatever they are worth, they must never keep the job
+// that they are for from starting. It is asked for machine after machine, so it is kept until a hold ends.
 func (p *pass) yields(j *Job) Room {
 	if p.yieldsTo == j {
 		return p.yielding
 	}
 	p.yieldsTo, p.yielding = j, Room{}
 	for _, h := range p.holds[j.Spec.Owner] {
-		if h.held.Pipeline != j.Pipeline() && givesWay(h.held, j) {
+		if givesWay(h.held, j) {
 			p.yielding = p.yielding.Add(h.held.Room)
 		}
 	}
@@ -107,9 +108,6 @@
 	if t != nil {
 		t.Used = t.Used.Sub(h.held.Room)
 	}
-	if list := p.held[of]; len(list) > 0 {
-		p.held[of] = list[:len(list)-1]
-	}
 	if at := slices.Index(p.holds[of.Owner], h); at >= 0 {
 		p.holds[of.Owner] = slices.Delete(p.holds[of.Owner], at, at+1)
 	}
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -256,3 +256,27 @@
 		}
 	})
 }
+
+// TestOwnHoldsNeverKeepItOut guards against the same days: what was held for a gang
+// used up its team's limit, and so kept the gang itself from starting for the rest
+// of the day.
+func TestOwnHoldsNeverKeepItOut(t *testing.T) {
+	for _, shape := range []string{"gang", "sweep"} {
+		j := sweepJob("j-1", "a", 1)
+		j.Spec.Shape, j.Spec.Pieces, j.Waiting = shape, 2, []int{0, 1}
+		w := &World{Jobs: []*Job{j}, Teams: map[string]*Team{"a": {Max: Room{GPUs: 8}, Used: Room{GPUs: 20}}}}
+		for i := range 7 {
+			r := oneRig()
+			if i < 5 {
+				r.Held = []Held{{j.Pipeline(), 1, Need(j.Spec)}}
+				r.Spot = true // held long ago, for another of the pipeline
+			}
+			r.Name = fmt.Sprint("m-", i)
+			w.Rigs = append(w.Rigs, r)
+		}
+		p := Decide(w)
+		if len(p.Starts) != 2 || len(p.Released) != 5 || w.Teams["a"].Used.GPUs != 8 {
+			t.Errorf("%s: %d started, %d holds given up, the team uses %v", shape, len(p.Starts), len(p.Released), w.Teams["a"].Used)
+		}
+	}
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -12,7 +12,7 @@
 // Decide runs one pass over the world. It changes the views of machines that
 // it puts work on or stops work on; these must be made anew for the next pass.
 func Decide(w *World) *Plan {
-	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), held: make(map[Pipeline][]Room), holds: make(map[string][]heldOn), shortOf: make(map[string]bool), inTime: make(map[ownerAt]Room), promises: make(map[string][]promise),
+	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), holds: make(map[string][]heldOn), shortOf: make(map[string]bool), inTime: make(map[ownerAt]Room), promises: make(map[string][]promise),
 		able: make(map[standing]int), outside: make(map[string]bool), bits: make(map[standing]uint64)}
 	var running []*Job // whose tasks may be stopped, each once
 	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
@@ -45,7 +45,6 @@
 			}
 		}
 		for _, h := range r.Held {
-			p.held[h.Pipeline] = append(p.held[h.Pipeline], h.Room)
 			p.holds[h.Pipeline.Owner] = append(p.holds[h.Pipeline.Owner], heldOn{r, h})
 		}
 	}
@@ -141,11 +140,9 @@
 	// roomy are the machines that can take any task at all: when most are
 	// full, no job need look at all of them.
 	roomy []*Rig
-	// held is the room held for each pipeline, able the tasks that run, by
-	// standing.
-	held map[Pipeline][]Room
+	// able are the tasks that run, by standing.
 	able map[standing]int
-	// holds are the same, by team.
+	// holds are the holds, by team.
 	holds map[string][]heldOn
 	// yieldsTo is the job that yielding was reckoned for.
 	yieldsTo *Job
@@ -344,19 +341,6 @@
 	p.plan.Starts = append(p.plan.Starts, Start{j, index, r})
 }
 
-// limitAllows tells whether the team may take one more task on the machine,
-// where a hold of its own may already count for it.
-func (p *pass) limitAllows(j *Job, r *Rig) bool {
-	extra := Need(j.Spec)
-	for _, h := range r.Held {
-		if h.Pipeline == j.Pipeline() {
-			extra = extra.Sub(h.Room)
-			break
-		}
-	}
-	return p.allows(j, extra)
-}
-
 // zoneAllows keeps samePlace and apart with the job's tasks as they stand.
 func zoneAllows(j *Job, zone string) bool {
 	if j.Spec.SamePlace {
--- a/internal/placement/sweep.go
+++ b/internal/placement/sweep.go
@@ -39,14 +39,14 @@
 		// Whole ordinary machines are kept for gangs that can use no others.
 		return false
 	}
-	return p.usable(j, r) && zoneAllows(j, r.Zone) && r.free(j).Fits(need) && p.limitAllows(j, r)
+	return p.usable(j, r) && zoneAllows(j, r.Zone) && r.free(j).Fits(need) && p.allows(j, need)
 }
 
 // sweep places a job's waiting tasks from one on, on machines that have its
 // image within patience seconds, and tells up to which one it came.
 func (p *pass) sweep(j *Job, from int, patience float64) int {
 	need := Need(j.Spec)
-	if !p.allows(j, need) && len(p.held[j.Pipeline()]) == 0 {
+	if !p.allows(j, need) {
 		return from
 	}
 	c := p.cands[:0]
--- a/internal/reserve/book.go
+++ b/internal/reserve/book.go
@@ -68,11 +68,12 @@
 	opt    Options
 	holds  map[string][]Hold // by machine
 	stages map[string]*stage // by upstream job
+	counts map[string]int    // holds, by downstream job
 }
 
 // New makes an empty book.
 func New(opt Options) *Book {
-	return &Book{opt: opt, holds: make(map[string][]Hold), stages: make(map[string]*stage)}
+	return &Book{opt: opt, holds: make(map[string][]Hold), stages: make(map[string]*stage), counts: make(map[string]int)}
 }
 
 // Lapse is D of the paper's section IV: how long after the upstream's start
@@ -111,6 +112,11 @@
 		switch {
 		case m > n && s.released < m-n:
 			s.released++
+		case b.counts[f.Next.Job] >= n:
+			// Several upstream jobs may end while the same one waits. It can use
+			// no more than its own tasks take; all else would only stand empty
+			// and use up the team's limit, as on Peakdale, where one gang of 24
+			// had 237 machines held for it and could not start for that.
 		case f.Fits && s.expires.After(f.Now):
 			b.add(Hold{f.Rig, f.Pipeline, f.Job, f.Next.Job, f.Next.Priority, f.Next.Need, s.expires})
 			held = true
@@ -148,6 +154,9 @@
 	})
 	for _, name := range names {
 		s := b.stages[name]
+		if s.next.Pieces > 0 && b.counts[s.next.Job] >= s.next.Pieces {
+			continue // it has all that it can use
+		}
 		if fits(s.next.Job, s.next.Need) {
 			s.extra--
 			b.add(Hold{rig, s.pipeline, name, s.next.Job, s.next.Priority, s.next.Need, s.expires})
@@ -157,7 +166,17 @@
 	return false
 }
 
-func (b *Book) add(h Hold) { b.holds[h.Rig] = append(b.holds[h.Rig], h) }
+func (b *Book) add(h Hold) {
+	b.holds[h.Rig] = append(b.holds[h.Rig], h)
+	b.counts[h.Downstream]++
+}
+
+// uncount takes a hold that ends out of the counts.
+func (b *Book) uncount(h Hold) {
+	if b.counts[h.Downstream]--; b.counts[h.Downstream] <= 0 {
+		delete(b.counts, h.Downstream)
+	}
+}
 
 // Restore puts back a hold read from a machine's record.
 func (b *Book) Restore(h Hold) {
@@ -213,6 +232,7 @@
 
 func (b *Book) remove(rig string, i int) {
 	hs := b.holds[rig]
+	b.uncount(hs[i])
 	hs = append(append([]Hold(nil), hs[:i]...), hs[i+1:]...)
 	if len(hs) == 0 {
 		delete(b.holds, rig)
@@ -229,6 +249,8 @@
 		for _, h := range hs {
 			if h.Expires.After(now) && waits(h.Downstream) {
 				kept = append(kept, h)
+			} else {
+				b.uncount(h)
 			}
 		}
 		if len(kept) == len(hs) {
@@ -251,4 +273,9 @@
 }
 
 // Drop forgets the holds of a machine that is leaving.
-func (b *Book) Drop(rig string) { delete(b.holds, rig) }
+func (b *Book) Drop(rig string) {
+	for _, h := range b.holds[rig] {
+		b.uncount(h)
+	}
+	delete(b.holds, rig)
+}
--- a/internal/reserve/book_test.go
+++ b/internal/reserve/book_test.go
@@ -113,3 +113,46 @@
 		t.Errorf("holds although turned off")
 	}
 }
+
+// TestNoMoreIsHeldThanIsOfUse guards against drawn days of Peakdale: every job of
+// a pipeline that ended held room for the one gang that still waited, 237 machines
+// for its 24 tasks. Whatever ends, lapses, is used or lost, no more is held for a
+// job than it has tasks, and what it needs can be held again.
+func TestNoMoreIsHeldThanIsOfUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(opt)
+		now := t0
+		downstream := []Downstream{{Job: "j-90", Pieces: 3, Need: unit}, {Job: "j-91", Pieces: 7, Priority: 1, Need: unit}}
+		waits := map[string]bool{"j-90": true, "j-91": true}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			rig := fmt.Sprint("m-", rapid.IntRange(0, 9).Draw(t, "rig"))
+			next := downstream[rapid.IntRange(0, 1).Draw(t, "for")]
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				b.Drop(rig)
+			case 1:
+				b.Use(rig, pipe)
+			case 2:
+				b.Override(rig, unit)
+			case 3:
+				waits[next.Job] = rapid.Bool().Draw(t, "waits")
+				b.Lapse(now, func(job string) bool { return waits[job] })
+			case 4:
+				b.Freed(rig, func(string, placement.Room) bool { return true }, now)
+			default:
+				b.Finished(Finish{Pipeline: pipe, Job: fmt.Sprint("j-", rapid.IntRange(0, 3).Draw(t, "upstream")),
+					Pieces: rapid.IntRange(1, 12).Draw(t, "m"), Started: now, Ran: 10 * time.Second, Rig: rig, Fits: true, Next: &next, Now: now})
+			}
+			count := map[string]int{}
+			for _, h := range b.All() {
+				count[h.Downstream]++
+			}
+			for _, d := range downstream {
+				if count[d.Job] > d.Pieces || count[d.Job] != b.counts[d.Job] {
+					t.Fatalf("%d held for %s of %d tasks, counted as %d", count[d.Job], d.Job, d.Pieces, b.counts[d.Job])
+				}
+			}
+		}
+	})
+}
