--- a/internal/leader/faults_test.go
+++ b/internal/leader/faults_test.go
@@ -18,8 +18,9 @@
 	faulty   map[string]bool
 	mistaken map[string]bool
 	tasks    map[string]map[fleet.AttemptID]*really
-	starts   map[string]int // by job
-	bad      map[string]int // starts on faulty machines
+	starts   map[string]int  // by job
+	bad      map[string]int  // starts on faulty machines
+	caught   map[string]bool // faulty machines that a job without a mistake failed on
 	epoch    uint64
 }
 
@@ -60,6 +61,9 @@
 			case k.status != fleet.Running:
 			case (w.faulty[r.m.Name] || w.mistaken[id.Task.Job]) && ran >= 500*time.Millisecond:
 				k.status, k.cause = fleet.Exited, fleet.CauseError
+				if !w.mistaken[id.Task.Job] {
+					w.caught[r.m.Name] = true
+				}
 			case ran >= 10*time.Second:
 				k.status, k.cause = fleet.Exited, fleet.CauseDone
 			}
@@ -81,7 +85,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		now := time.Unix(1000, 0)
 		w := &truth{l: testLeader(t), faulty: map[string]bool{}, mistaken: map[string]bool{}, tasks: map[string]map[fleet.AttemptID]*really{},
-			starts: map[string]int{}, bad: map[string]int{}, epoch: 100}
+			starts: map[string]int{}, bad: map[string]int{}, caught: map[string]bool{}, epoch: 100}
 		w.l.teams[0].GPUsMax = 64
 		w.l.teams[0].GPUs = 64
 		for i := range 12 {
@@ -111,6 +115,9 @@
 			if r.bad && !w.faulty[name] {
 				rt.Fatalf("%s is taken for faulty and is not", name)
 			}
+			if w.caught[name] && !r.bad {
+				rt.Fatalf("%s failed a sound job's tasks and is not taken for faulty", name)
+			}
 			if w.bad[name] > 16 {
 				rt.Fatalf("%s was given %d tasks to fail", name, w.bad[name])
 			}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -147,7 +147,7 @@
 		workers: make(map[string]*standin.Worker), places: make(map[string]place),
 		judge: &judge{on: map[fleet.TaskID]string{}, gpus: map[string]float64{}, zones: map[string]map[string]int{},
 			limits: map[string]float64{}, done: map[fleet.TaskID]int{}, owner: map[string]*intake.Job{}}}
-	s.placed = placements{slog.NewTextHandler(io.Discard, nil), new(sync.Mutex), make(map[string]int)}
+	s.placed = placements{slog.NewTextHandler(io.Discard, nil), new(sync.Mutex), make(map[string]int), make(map[string]bool)}
 	for _, team := range lay.params.Teams {
 		s.judge.limits[team.Name] = team.GPUsMax
 	}
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
+	"thornnotch/internal/standin"
 )
 
 // The rules that were added for all deployments, each on a whole site of
@@ -80,16 +82,21 @@
 	slog.Handler
 	mu  *sync.Mutex
 	rig map[string]int
+	bad map[string]bool // machines taken for faulty
 }
 
 func (p placements) Enabled(context.Context, slog.Level) bool { return true }
 
 func (p placements) Handle(ctx context.Context, r slog.Record) error {
-	if r.Message == "placed" {
+	if faulty := r.Message == "machine taken for faulty"; faulty || r.Message == "placed" {
 		r.Attrs(func(a slog.Attr) bool {
 			if a.Key == "rig" {
 				p.mu.Lock()
-				p.rig[a.Value.String()]++
+				if faulty {
+					p.bad[a.Value.String()] = true
+				} else {
+					p.rig[a.Value.String()]++
+				}
 				p.mu.Unlock()
 			}
 			return true
@@ -109,6 +116,12 @@
 	return p.rig[rig]
 }
 
+func (p placements) found(rig string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bad[rig]
+}
+
 // on names a machine that runs something, as the judge sees it.
 func (s *site) on() string {
 	s.judge.mu.Lock()
@@ -122,7 +135,7 @@
 	return least
 }
 
-func (s *site) worker(name string) interface{ SetDeaf(bool) } {
+func (s *site) worker(name string) *standin.Worker {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.workers[name]
@@ -429,3 +442,93 @@
 		}
 	})
 }
+
+// TestFaultyMachines: machines that fail every task they start. Jobs of all shapes
+// end in time although they meet them, over a takeover too, which forgets what was
+// known; the machines get little and go back, and a job that was submitted with a
+// mistake ends no good machine.
+func TestFaultyMachines(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		s.mu.Lock()
+		var faulty []string
+		for name := range s.workers {
+			faulty = append(faulty, name)
+		}
+		s.mu.Unlock()
+		slices.Sort(faulty)
+		faulty = faulty[:2]
+		before := map[string]int{}
+		for _, name := range faulty {
+			s.worker(name).SetFaulty(true)
+			before[name] = s.placed.on(name)
+		}
+		for n := 50; n < 58; n++ {
+			add(testJob(n, []string{"a", "b"}[n%2], []string{intake.Sweep, intake.Gang}[n%2], 3))
+			if n == 53 {
+				lead := s.leader()
+				s.kill(lead)
+				s.start(int(lead[4] - '0'))
+			}
+		}
+		begun := time.Now()
+		for n := 50; n < 58; n++ {
+			id := fmt.Sprintf("j-%06d", n)
+			s.until(2*time.Minute-time.Since(begun), id+" although machines fail", func() bool { return s.status(1, id) == intake.Done })
+		}
+		met := 0
+		for _, name := range faulty {
+			n := s.placed.on(name) - before[name]
+			if n > 20 {
+				t.Errorf("the faulty machine %s was given %d tasks", name, n)
+			}
+			if n > 0 {
+				met++
+				s.until(time.Minute, name+" found and given back", func() bool { return s.placed.found(name) && !s.cloud.Has(name) })
+			}
+		}
+		if met == 0 {
+			t.Errorf("no task met a faulty machine: nothing was tested")
+		}
+	})
+}
+
+// TestZonesApart: the leader's zone and another can't reach each other, while both
+// reach the state service, the cloud and the users, for longer than a lease. What
+// ran in the far zone begins again, on the leader's side meanwhile, and no task
+// is on two machines; users are answered by all nodes.
+func TestZonesApart(t *testing.T) {
+	trouble(t, nil, func(s *site, add func(*intake.Job)) {
+		lead := s.leader()
+		near := zones[lead[4]-'0']
+		far := zones[(int(lead[4]-'0')+1)%3]
+		side := func(zone string) (out standin.Side) {
+			for label, p := range s.nodes {
+				if zones[label[4]-'0'] == zone {
+					out.Hosts = append(out.Hosts, p.host)
+					out.Addrs = append(out.Addrs, "node-"+label[4:]+":80", "node-"+label[4:]+":81")
+				}
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, p := range s.places {
+				if p.zone == zone {
+					out.Hosts = append(out.Hosts, p.host)
+					out.Addrs = append(out.Addrs, p.addr)
+				}
+			}
+			return out
+		}
+		standin.Part(side(near), side(far))
+		for n := 60; n < 66; n++ {
+			add(testJob(n, "a", []string{intake.Sweep, intake.Gang}[n%2], 3))
+		}
+		for i := range 3 {
+			s.until(10*time.Second, fmt.Sprint("an answer from node ", i), func() bool { return s.status(i, "j-000060") != "" })
+		}
+		time.Sleep(40 * time.Second)
+		if l := s.leader(); l == "" {
+			t.Errorf("nobody leads")
+		}
+		s.heal()
+	})
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -54,6 +54,13 @@
 	return len(c.hosts)
 }
 
+// Has tells whether a machine is rented.
+func (c *Cloud) Has(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts[name] != nil
+}
+
 // Die ends a machine with all that is on it. It is listed as running for a
 // while yet, and then as failed.
 func (c *Cloud) Die(name string) {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -219,6 +219,23 @@
 	h.cut = make(map[string]bool)
 }
 
+// Side is one side of a partition: hosts, and the addresses that they listen on.
+type Side struct {
+	Hosts []*Host
+	Addrs []string
+}
+
+// Part cuts two sides off from each other, in both directions, as when two zones
+// can't reach each other; both reach everybody else as before.
+func Part(a, b Side) {
+	for _, h := range a.Hosts {
+		h.Cut(b.Addrs...)
+	}
+	for _, h := range b.Hosts {
+		h.Cut(a.Addrs...)
+	}
+}
+
 // Kill ends all that the host has open.
 func (h *Host) Kill() {
 	h.mu.Lock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -55,6 +55,7 @@
 	saved   bool
 	since   time.Time // of the present state
 	began   bool
+	fails   bool // it was started on a faulty machine
 	stopped time.Time
 }
 
@@ -78,6 +79,7 @@
 	target  int
 	deaf    bool
 	hangs   bool
+	faulty  bool
 	poke    chan struct{}
 	over    chan struct{} // closed at the end, for copies under way
 }
@@ -117,6 +119,17 @@
 	w.hangs = hangs
 }
 
+// FailsAfter is how long a task runs on a faulty machine.
+const FailsAfter = 500 * time.Millisecond
+
+// SetFaulty makes the machine fail every task that it starts from now on, or
+// mends it.
+func (w *Worker) SetFaulty(faulty bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faulty = faulty
+}
+
 // Run works until ctx ends; then all that is on the machine is gone.
 func (w *Worker) Run(ctx context.Context) error {
 	l, err := w.end.Listen("tcp", w.opt.Addr)
@@ -250,7 +263,7 @@
 				continue
 			}
 			w.images[t.job.Bundle] = true
-			t.began = true
+			t.began, t.fails = true, w.faulty
 			w.judge.Began(w.opt.Name, w.opt.Zone, w.opt.Spot, t.id.Task, t.id.Try, t.job)
 			if t.job.Shape == intake.Gang {
 				w.meet.join(t)
@@ -267,6 +280,10 @@
 				w.exit(t, "alone", false, now)
 			}
 		case fleet.Running:
+			if t.fails && now.Sub(t.since) >= FailsAfter {
+				w.exit(t, fleet.CauseError, false, now)
+				continue
+			}
 			if t.job.Shape == intake.Gang {
 				complete, done := w.meet.state(t)
 				if !complete && !done {
