--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -408,7 +408,7 @@
 	}
 	j.blame.sound = true
 	j.blame.clear()
-	l.judge(j, now) // now: the job may be over in a moment
+	l.judge(j, now)  // now: the job may be over in a moment
 	r.accusers = nil // it has carried a task to its end
 	l.settleDone(j)
 	if first || j.spec.Shape == intake.Gang {
