--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -266,7 +266,9 @@
 // The job's place in the queue stays as it is: whoever may stop another's tasks
 // must stand before it, or the room goes back to what was stopped, pass after pass.
 func (p *pass) leaves(j *Job) Room {
-	if !j.missed() || !p.short(j.Spec.Owner) {
+	if !j.missed() || j.Preparing || !p.short(j.Spec.Owner) {
+		// One that room is being made for has its promise: to give it up for a
+		// lower job, stop that one's tasks and begin anew would go on pass by pass.
 		return Room{}
 	}
 	k := ownerAt{j.Spec.Owner, j.Priority}
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -175,6 +175,8 @@
 			t.Fatalf("%s: %d stopped, %d prepared", c.name, len(p.Evicts), len(p.Prepared))
 		}
 		gang.Preparing, gang.Claims = true, map[string]bool{"m-0": true, "m-1": true}
+		// That it has missed its aims by now must not have it give up and begin anew.
+		gang.Late, gang.Targets = true, []time.Duration{time.Second}
 		// A small job of the team comes, with a place of its own.
 		bit := sweepJob("j-3", "a", c.bitPrio)
 		bit.Spec.Accelerators, bit.Spec.Loaners, bit.Order = 1, true, 3
