--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -437,7 +437,12 @@
 			idle = append(idle, market.Idle{Name: r.m.Name, Pool: r.pool(), Images: len(r.images)})
 		}
 	}
-	for _, name := range market.Surplus(v, keep, idle) {
+	surplus := market.Surplus(v, keep, idle)
+	for _, name := range surplus {
 		l.leave(l.rigs[name], "idle", now)
 	}
+	if len(surplus) == 0 {
+		// What stands empty goes first.
+		l.gather(v, keep, now)
+	}
 }
