--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -119,6 +119,42 @@
 	p.plan.Released = append(p.plan.Released, Release{h.rig, h.held})
 }
 
+// releaseUseless ends the holds that no job of their pipeline can use: all that
+// wait are gangs for which their team's limit has no room, whatever is held. Bit by
+// bit held back for a gang of 24, the limit stood idle while the team's other jobs
+// waited for it.
+func (p *pass) releaseUseless() {
+	if len(p.holds) == 0 {
+		return
+	}
+	waits, usable := make(map[Pipeline]bool), make(map[Pipeline]bool)
+	for _, j := range p.Jobs {
+		if len(j.Waiting) == 0 || len(p.holds[j.Spec.Owner]) == 0 || usable[j.Pipeline()] {
+			continue
+		}
+		t := p.Teams[j.Spec.Owner]
+		if t == nil {
+			continue
+		}
+		use := t.Used
+		for _, h := range p.holds[j.Spec.Owner] {
+			use = use.Sub(h.held.Room)
+		}
+		waits[j.Pipeline()] = true
+		usable[j.Pipeline()] = j.Spec.Shape != "gang" || t.within(use.Add(Need(j.Spec).Times(len(j.Waiting))))
+	}
+	for pipe := range waits {
+		if usable[pipe] {
+			continue
+		}
+		for _, h := range slices.Clone(p.holds[pipe.Owner]) {
+			if h.held.Pipeline == pipe {
+				p.release(h)
+			}
+		}
+	}
+}
+
 // giveWay ends as many of the holds that give way to the job as its team needs
 // to use extra on top, the lowest first.
 func (p *pass) giveWay(j *Job, extra Room) {
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -282,3 +282,40 @@
 		}
 	}
 }
+
+// TestUselessHoldsAreReleased guards against Peakdale's quiet days: what small gangs
+// left was held for a large one that the team's limit had no room for, and the
+// team's sweeps, which could have used it, were late. A hold that a waiting job can
+// use stays.
+func TestUselessHoldsAreReleased(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		max      float64
+		shape    string // of the second job of the pipeline
+		released int
+	}{
+		{"no room in the limit", 16, "", 2},
+		{"room for the gang", 24, "", 0},
+		{"a smaller gang", 16, "gang", 0},
+		{"a sweep", 16, "sweep", 0},
+	} {
+		gang, other := sweepJob("j-1", "a", 1), sweepJob("j-2", "a", 1)
+		gang.Spec.Shape, gang.Spec.Pieces, gang.Waiting = "gang", 3, []int{0, 1, 2}
+		w := &World{Jobs: []*Job{gang}, Teams: map[string]*Team{"a": {Max: Room{GPUs: c.max}, Used: Room{GPUs: 16}}}}
+		if c.shape != "" {
+			other.Spec.Shape = c.shape
+			w.Jobs = append(w.Jobs, other)
+		}
+		for _, j := range w.Jobs {
+			j.Avoid = map[string]bool{"m-0": true, "m-1": true} // nothing starts
+		}
+		for i := range 2 {
+			r := oneRig(Held{gang.Pipeline(), 1, Need(gang.Spec)})
+			r.Name = fmt.Sprint("m-", i)
+			w.Rigs = append(w.Rigs, r)
+		}
+		if p := Decide(w); len(p.Released) != c.released {
+			t.Errorf("%s: %d released, want %d", c.name, len(p.Released), c.released)
+		}
+	}
+}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -61,6 +61,7 @@
 		}
 		return 0
 	})
+	p.releaseUseless()
 	p.keepClaims()
 	p.keepPromises()
 	for from := 0; from < len(w.Jobs); {
