--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -68,7 +68,10 @@
 func (p *pass) allows(j *Job, extra Room) bool {
 	t := p.Teams[j.Spec.Owner]
 	if j.Overdue == NoLift {
-		extra = extra.Add(t.Kept).Add(p.leaves(j))
+		if j.Priority >= t.KeptFrom {
+			extra = extra.Add(t.Kept)
+		}
+		extra = extra.Add(p.leaves(j))
 		for _, k := range p.promises[j.Spec.Owner] {
 			if k.job != j && k.job.Priority >= j.Priority {
 				extra = extra.Add(k.room)
@@ -183,10 +186,14 @@
 }
 
 // makeLimit is called for a lifted gang whose team is at its limit. What is held
-// for work that it goes before gives way at once: that work could not use it.
-// Its team's tasks of lower priority are stopped, as far as the gang needs, and
-// what comes free of the limit is kept for it: else jobs behind it go on taking
-// each bit. A gang that is not lifted waits, and smaller work goes on meanwhile.
+// for work that it goes before gives way at once: that work could not use it. What
+// comes free of the limit is kept for the gang, else jobs behind it go on taking
+// each bit. Lower work of its team may use it until the gang could start by having
+// such work stopped: gangs run for minutes, and a tenth of the limit would stand
+// idle while enough of it comes together. Then lower tasks are stopped, as far as
+// the gang needs, and nobody takes their place.
+//
+// A gang that is not lifted waits, and smaller work goes on meanwhile.
 func (p *pass) makeLimit(j *Job) {
 	t := p.Teams[j.Spec.Owner]
 	extra := Need(j.Spec).Times(len(j.Waiting))
@@ -195,16 +202,16 @@
 	}
 	short := extra.Sub(p.ending[j.Spec.Owner])
 	p.giveWay(j, short)
-	if !t.Allows(short) {
-		p.stopOwn(j, short)
+	t.Kept, t.KeptFrom = extra, 0
+	if !t.Allows(short) && !p.stopOwn(j, short) {
+		t.KeptFrom = j.Priority
 	}
-	t.Kept = extra
 }
 
 // stopOwn stops tasks of the job's own team that are lower in priority, until
 // its team could use extra more once they are gone: those that lose least for
-// the room they give.
-func (p *pass) stopOwn(j *Job, extra Room) {
+// the room they give. It stops none if all of them are not enough.
+func (p *pass) stopOwn(j *Job, extra Room) (enough bool) {
 	t := p.Teams[j.Spec.Owner]
 	type victim struct {
 		rig  *Rig
@@ -226,7 +233,7 @@
 	}
 	// Stopping what is not enough would only cost.
 	if !t.Allows(extra.Sub(sum)) {
-		return
+		return false
 	}
 	slices.SortStableFunc(list, func(a, b victim) int {
 		if a.slot.Job.Priority != b.slot.Job.Priority {
@@ -236,11 +243,12 @@
 	})
 	for _, v := range list {
 		if t.Allows(extra) {
-			return
+			break
 		}
 		p.stop(j, v.rig, v.slot)
 		extra = extra.Sub(v.slot.Room)
 	}
+	return true
 }
 
 // stop has a task stopped for a job.
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -66,8 +66,10 @@
 	// Guarantee and Max are its levels; 0 means none. RAM is not limited.
 	Guarantee, Max Room
 	Used           Room
-	// Kept is what of the limit is kept in a pass for a lifted gang.
-	Kept Room
+	// Kept is what of the limit is kept in a pass for a lifted gang, from work of
+	// at least the priority KeptFrom.
+	Kept     Room
+	KeptFrom int
 }
 
 // Allows tells whether the team may use extra on top of what it uses.
