--- /dev/null
+++ b/internal/leader/targets_test.go
@@ -0,0 +1,56 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/tuning"
+)
+
+// TestSilentMachineGetsNoWork guards against Peakdale's days with a partition: work
+// was placed on machines beyond it until their leases were over.
+func TestSilentMachineGetsNoWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := testLeader(t)
+	silent, heard := addRig(l, "m-1", "east", now), addRig(l, "m-2", "east", now)
+	now = now.Add(l.quiet() + tuning.IdleHold + time.Second)
+	if now.Sub(silent.m.Heard) >= l.lease {
+		t.Fatal("the lease is over: nothing is tested")
+	}
+	heard.m.Heard = now
+	addJob(t, l, sweep("j-1", 3), now)
+	l.pass(now)
+	if len(silent.m.Attempts) != 0 || len(heard.m.Attempts) != 3 {
+		t.Errorf("%d placed on the silent machine, %d on the other", len(silent.m.Attempts), len(heard.m.Attempts))
+	}
+}
+
+// TestTargets: whatever kind of aim a class has, the latest starts that meet it.
+func TestTargets(t *testing.T) {
+	share, half, due := 0.9, 1.5, 100.0
+	l := testLeader(t)
+	l.d.Settings.Params.Objectives = []config.Objective{
+		{Kind: config.AimDeadline, Class: "d", Share: &share, Times: &half}, {Kind: config.AimDeadline, Class: "d", Share: &share},
+		{Kind: config.AimWait, Class: "w", WithinS: 30, Share: &share}, {Kind: config.AimFinished, Class: "w", WithinS: 250, Share: &share},
+		{Kind: "novel", Class: "n", WithinS: 1},
+	}
+	for _, c := range []struct {
+		class string
+		due   *float64
+		want  string
+	}{
+		{"d", &due, "[1m5s 1m55s]"}, // 5 s for the image, 30 s to run
+		{"d", nil, "[]"},
+		{"w", &due, "[25s 3m35s]"},
+		{"n", &due, "[1m5s]"}, // nothing known: the due time itself
+		{"n", nil, "[]"},
+	} {
+		spec := sweep("j-1", 1)
+		spec.Workload, spec.DueS = c.class, c.due
+		if got := fmt.Sprint(l.targets(&spec)); got != c.want {
+			t.Errorf("%s, due %v: %s, want %s", c.class, c.due != nil, got, c.want)
+		}
+	}
+}
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -437,12 +437,7 @@
 			idle = append(idle, market.Idle{Name: r.m.Name, Pool: r.pool(), Images: len(r.images)})
 		}
 	}
-	surplus := market.Surplus(v, keep, idle)
-	for _, name := range surplus {
+	for _, name := range market.Surplus(v, keep, idle) {
 		l.leave(l.rigs[name], "idle", now)
 	}
-	if len(surplus) == 0 {
-		// What stands empty goes first.
-		l.gather(v, keep, now)
-	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -334,15 +334,6 @@
 	// of the work that spot machines can't be had for which ordinary machines
 	// are rented for.
 	OverflowWorth = 2
-	// ThinShare is the part of a machine up to which what runs on it is little
-	// enough to be moved together with others.
-	ThinShare = 0.3
-	// MoveWorth is how long the last task on a machine must be expected to go on
-	// for moving to be worth it: saving and beginning again takes some ten seconds.
-	MoveWorth = 25 * time.Second
-	// MovesAtOnce is how many machines are emptied in one second at the most: what
-	// is moved must find its new place before more of it comes.
-	MovesAtOnce = 6
 	// RecentWindow is how far back jobs are counted to tell what may come.
 	RecentWindow = 60 * time.Second
 	// RentSpare and KeepSpare are the defaults of the operator settings spare
