A zone gets the machines that are bound to it, and one zone those of a gang

Cause: renting counted demand over all zones, so a job bound to a zone (hall), or a gang that must be in one zone, waited for ever once there were enough machines elsewhere. Now each zone has a floor, rented first and not given back. Tests: TestZoneHasWhatIsBoundToIt, TestRentingAndReturningAgree with zones drawn.

--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"thornnotch/internal/intake"
 	"thornnotch/internal/market"
 	"thornnotch/internal/placement"
 	"thornnotch/internal/tuning"
@@ -412,7 +413,8 @@
 // demandOf is what so many tasks of a job ask of the market.
 func demandOf(j *job, pieces int) market.Demand {
 	return market.Demand{Owner: j.spec.Owner, Pieces: pieces, Need: placement.Need(j.spec),
-		Spot: j.spec.Loaners, Types: j.spec.RigTypes, Zone: j.spec.Hall}
+		Spot: j.spec.Loaners, Types: j.spec.RigTypes, Zone: j.spec.Hall,
+		Together: j.spec.Shape == intake.Gang && j.spec.SamePlace}
 }
 
 // giveUpSurplus returns machines that have been idle for a while and that the
--- a/internal/market/plan.go
+++ b/internal/market/plan.go
@@ -23,6 +23,8 @@
 	Spot   bool     // may use spot machines
 	Types  []string // nil: any
 	Zone   string   // empty: any
+	// Together: all at the same time and in the same zone, whichever it is.
+	Together bool
 }
 
 // Limit is a team's largest use; more machines than it allows are no help.
@@ -51,6 +53,19 @@
 // fill tells how many machines the demand would fill, at most as much as the
 // teams' limits let run.
 func (v View) fill(demand []Demand, t RigType) (ordinary, spot float64) {
+	v.runnable(demand, t, func(d Demand, n, per int) {
+		if f := float64(n) / float64(per); d.Spot {
+			spot += f
+		} else {
+			ordinary += f
+		}
+	})
+	return ordinary, spot
+}
+
+// runnable tells, for each demand, how many of its tasks the team's limit lets run
+// at once beside those before it, and how many a machine of the type takes.
+func (v View) runnable(demand []Demand, t RigType, tell func(d Demand, n, per int)) {
 	used := make(map[string]placement.Room)
 	max := make(map[string]placement.Room)
 	for _, l := range v.Limits {
@@ -61,7 +76,6 @@
 			continue
 		}
 		n := d.Pieces
-		// Only as much as the team's limit lets run at once.
 		if m, ok := max[d.Owner]; ok {
 			left := m.Sub(used[d.Owner])
 			if m.GPUs <= 0 {
@@ -73,22 +87,12 @@
 			left.RAM = math.Inf(1)
 			n = left.Count(d.Need, n)
 		}
-		room := d.Need.Times(n)
-		used[d.Owner] = used[d.Owner].Add(room)
-		f := float64(0)
+		used[d.Owner] = used[d.Owner].Add(d.Need.Times(n))
 		// A task that fills most of a machine takes all of it.
-		per := (placement.Room{VCPUs: t.VCPUs, GPUs: t.Accelerators, RAM: t.RAMGB}).Count(d.Need, tuning.MaxPieces)
-		if per < 1 {
-			continue
-		}
-		f = float64(n) / float64(per)
-		if d.Spot {
-			spot += f
-		} else {
-			ordinary += f
+		if per := (placement.Room{VCPUs: t.VCPUs, GPUs: t.Accelerators, RAM: t.RAMGB}).Count(d.Need, tuning.MaxPieces); per >= 1 {
+			tell(d, n, per)
 		}
 	}
-	return ordinary, spot
 }
 
 func allows(types []string, sku string) bool {
@@ -150,12 +154,90 @@
 	return ordinary, spot
 }
 
+// floor is how many machines a zone must have, however many stand elsewhere:
+// ordinary ones, and all together.
+type floor struct{ ordinary, all int }
+
+// floors tells them by zone: for jobs that may run nowhere else, and for gangs
+// that must be in one zone, whichever it is. Without this a job that is bound to
+// a zone waits for ever once there are enough machines in the others.
+func (v View) floors(t RigType) map[string]floor {
+	out := make(map[string]floor, len(t.Halls))
+	type part struct{ ordinary, spot float64 }
+	bound := make(map[string]part)
+	ordinary, all := 0, 0 // what the largest gang needs in one zone
+	v.runnable(v.Demand, t, func(d Demand, n, per int) {
+		switch {
+		case d.Zone != "":
+			b := bound[d.Zone]
+			if f := float64(n) / float64(per); d.Spot {
+				b.spot += f
+			} else {
+				b.ordinary += f
+			}
+			bound[d.Zone] = b
+		case d.Together && n == d.Pieces:
+			need := (n + per - 1) / per
+			all = max(all, need)
+			if !d.Spot {
+				ordinary = max(ordinary, need)
+			}
+		}
+	})
+	for z, b := range bound {
+		f := floor{ordinary: int(math.Ceil(b.ordinary))}
+		f.all = f.ordinary + int(math.Ceil(b.spot))
+		out[z] = f
+	}
+	// The gang gathers where there are most machines already, or will be.
+	raise := func(n int, have func(zone string) int, refused func(zone string) bool, to func(f *floor)) {
+		best, most := "", -1
+		for _, z := range t.Halls {
+			if h := have(z); h > most && (h >= n || !refused(z)) {
+				best, most = z, h
+			}
+		}
+		if best != "" {
+			f := out[best]
+			to(&f)
+			out[best] = f
+		}
+	}
+	pool := func(z string, spot bool) Pool { return Pool{t.SKU, z, spot} }
+	raise(ordinary, func(z string) int { return max(v.Have[pool(z, false)], out[z].ordinary) }, func(z string) bool { return v.Refused[pool(z, false)] },
+		func(f *floor) { f.ordinary, f.all = max(f.ordinary, ordinary), max(f.all, ordinary) })
+	raise(all, func(z string) int { return max(v.Have[pool(z, false)]+v.Have[pool(z, true)], out[z].all) },
+		func(z string) bool { return v.Refused[pool(z, false)] && v.Refused[pool(z, true)] },
+		func(f *floor) { f.all = max(f.all, all) })
+	return out
+}
+
+// below picks a request for a zone that has less than its floor.
+func (v View) below(t RigType) (Request, bool) {
+	floors := v.floors(t)
+	for _, z := range t.Halls {
+		f := floors[z]
+		ordinary, spot := v.Have[Pool{t.SKU, z, false}], v.Have[Pool{t.SKU, z, true}]
+		canOrdinary, canSpot := !v.Refused[Pool{t.SKU, z, false}], !v.Refused[Pool{t.SKU, z, true}]
+		if n := f.ordinary - ordinary; n > 0 && canOrdinary {
+			return Request{RigType: t.SKU, Hall: z, Count: min(n, tuning.RentBatch)}, true
+		}
+		if n := f.all - max(ordinary, f.ordinary) - spot; n > 0 && (canSpot || canOrdinary) {
+			return Request{RigType: t.SKU, Hall: z, Loaners: canSpot, Count: min(n, tuning.RentBatch)}, true
+		}
+	}
+	return Request{}, false
+}
+
 // Next picks the next request, if more machines are wanted than there are.
 // What spot machines can't be had for is rented as ordinary ones.
 func Next(v View, spare float64) (Request, bool) {
 	types := append([]RigType(nil), v.Catalog.RigTypes...)
 	sort.Slice(types, func(i, j int) bool { return types[i].SKU < types[j].SKU })
 	for _, t := range types {
+		if r, ok := v.below(t); ok {
+			return r, true
+		}
 		w := Wants(v, t, spare)
 		ordinary, spot := v.have(t.SKU)
 		if n := int(w.Ordinary) - ordinary; n > 0 {
@@ -205,15 +287,28 @@
 		}
 		return a.Name < b.Name
 	})
-	type count struct{ ordinary, spot int }
+	type count struct {
+		ordinary, spot int
+		floors         map[string]floor
+	}
 	have := make(map[string]*count)
+	in := make(map[Pool]int, len(v.Have))
+	for p, n := range v.Have {
+		in[p] = n
+	}
 	for _, m := range idle {
 		c := have[m.Pool.Type]
 		if c == nil {
 			o, s := v.have(m.Pool.Type)
-			c = &count{o, s}
+			t, _ := v.Catalog.Type(m.Pool.Type)
+			c = &count{o, s, v.floors(t)}
 			have[m.Pool.Type] = c
 		}
+		ordinary, spot := Pool{m.Pool.Type, m.Pool.Zone, false}, Pool{m.Pool.Type, m.Pool.Zone, true}
+		f := c.floors[m.Pool.Zone]
+		if in[ordinary]+in[spot] <= f.all || !m.Pool.Spot && in[ordinary] <= f.ordinary {
+			continue
+		}
 		w, known := keep[m.Pool.Type]
 		if !known {
 			continue
@@ -229,6 +324,7 @@
 			}
 			c.ordinary--
 		}
+		in[m.Pool]--
 		names = append(names, m.Name)
 	}
 	return names
--- a/internal/market/plan_test.go
+++ b/internal/market/plan_test.go
@@ -1,6 +1,7 @@
 package market
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -21,7 +22,8 @@
 			Limits: []Limit{{"a", placement.Room{GPUs: 40}}}}
 		for range rapid.IntRange(0, 6).Draw(t, "jobs") {
 			v.Demand = append(v.Demand, Demand{Owner: "a", Pieces: rapid.IntRange(1, 30).Draw(t, "pieces"),
-				Need: placement.Room{VCPUs: 1, GPUs: float64(rapid.IntRange(1, 4).Draw(t, "gpus")), RAM: 1}, Spot: rapid.Bool().Draw(t, "spot")})
+				Need: placement.Room{VCPUs: 1, GPUs: float64(rapid.IntRange(1, 4).Draw(t, "gpus")), RAM: 1}, Spot: rapid.Bool().Draw(t, "spot"),
+				Zone: rapid.SampledFrom([]string{"", "", "a", "b"}).Draw(t, "zone"), Together: rapid.Bool().Draw(t, "together")})
 		}
 		for _, z := range []string{"a", "b"} {
 			v.Refused[Pool{"g4", z, true}] = rapid.Bool().Draw(t, "refused")
@@ -48,6 +50,7 @@
 		}
 		// 40 GPUs fill 10 machines, or as many as tasks when one takes a
 		// machine; the root of that is the spare.
+		// What is bound to a zone may come on top in each.
 		if total > 80 {
 			t.Fatalf("%d machines for a limit of 40 GPUs", total)
 		}
@@ -74,3 +77,63 @@
 		t.Errorf("remembers for ever: %v", got)
 	}
 }
+
+// TestZoneHasWhatIsBoundToIt: however many machines stand in one zone, a job that
+// is bound to the other, and a gang that must be in one zone, get theirs, and what
+// they need is not given back.
+func TestZoneHasWhatIsBoundToIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spot := rapid.Bool().Draw(t, "spot")
+		pieces := rapid.IntRange(1, 12).Draw(t, "pieces")
+		zone := rapid.SampledFrom([]string{"", "b"}).Draw(t, "zone")
+		gpus := rapid.IntRange(1, 4).Draw(t, "gpus")
+		v := View{Catalog: testCatalog(), Have: map[Pool]int{}, Refused: map[Pool]bool{},
+			Demand: []Demand{{Owner: "a", Pieces: pieces, Need: placement.Room{VCPUs: 1, GPUs: float64(gpus), RAM: 1}, Spot: spot, Zone: zone, Together: true}},
+			Limits: []Limit{{"a", placement.Room{GPUs: 48}}}}
+		per := 4 / gpus
+		need := (pieces + per - 1) / per
+		// As many as all demand asks for, but not where it can be met.
+		v.Have[Pool{"g4", "a", false}] = rapid.IntRange(0, 20).Draw(t, "elsewhere")
+		if zone == "" {
+			v.Have[Pool{"g4", "a", false}] = need / 2
+			v.Have[Pool{"g4", "b", false}] = need - need/2
+		}
+		v.Refused[Pool{"g4", "b", true}] = rapid.Bool().Draw(t, "refused")
+		for steps := 0; ; steps++ {
+			r, ok := Next(v, 0)
+			if !ok {
+				break
+			}
+			v.Have[Pool{r.RigType, r.Hall, r.Loaners}] += r.Count
+			if steps > 20 {
+				t.Fatal("asks for ever")
+			}
+		}
+		in := func(z string) int {
+			n := v.Have[Pool{"g4", z, false}]
+			if spot {
+				n += v.Have[Pool{"g4", z, true}]
+			}
+			return n
+		}
+		if in("b") < need && (zone == "b" || in("a") < need) {
+			t.Fatalf("%d machines of %d: %v", in("b"), need, v.Have)
+		}
+		var idle []Idle
+		for p, n := range v.Have {
+			for i := range n {
+				idle = append(idle, Idle{Name: p.Zone + strconv.FormatBool(p.Spot) + strconv.Itoa(i), Pool: p})
+			}
+		}
+		pools := make(map[string]Pool)
+		for _, m := range idle {
+			pools[m.Name] = m.Pool
+		}
+		for _, name := range Surplus(v, map[string]Want{"g4": Wants(v, v.Catalog.RigTypes[0], 0)}, idle) {
+			v.Have[pools[name]]--
+		}
+		if in("b") < need && (zone == "b" || in("a") < need) {
+			t.Fatalf("given back: %d machines of %d: %v", in("b"), need, v.Have)
+		}
+	})
+}
