--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -179,17 +179,17 @@
 func printOverview(out io.Writer, o node.Overview) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	defer w.Flush()
-	fmt.Fprintln(w, "NODE\tLEADS\tLEADER SEEN\tTERM\tSTATE REQUESTS LEFT\tSTATE CHANGES LEFT\tCLOUD CALLS LEFT\tSOCKETS\tMEMORY\tTHREADS\tSCARCE")
+	fmt.Fprintln(w, "NODE\tVERSION\tLEADS\tLEADER SEEN\tTERM\tSTATE REQUESTS LEFT\tSTATE CHANGES LEFT\tCLOUD CALLS LEFT\tSOCKETS\tMEMORY\tTHREADS\tSCARCE")
 	for _, n := range o.Nodes {
 		if !n.Reachable {
-			fmt.Fprintf(w, "%s\tnot reachable\t\t\t\t\t\t\t\t\t\n", n.Label)
+			fmt.Fprintf(w, "%s\t\tnot reachable\t\t\t\t\t\t\t\t\t\n", n.Label)
 			continue
 		}
 		sockets := fmt.Sprint(n.Sockets.Open)
 		if n.Sockets.Limit > 0 {
 			sockets = fmt.Sprintf("%d of %d", n.Sockets.Open, n.Sockets.Limit)
 		}
-		fmt.Fprintf(w, "%s\t%v\t%s\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f MB\t%d\t%s\n", n.Label, n.Leads, n.Leader, n.Term,
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f MB\t%d\t%s\n", n.Label, n.Version, n.Leads, n.Leader, n.Term,
 			n.RequestTokens, n.WriteTokens, n.CloudTokens, sockets, n.MemoryMB, n.Threads, strings.Join(n.Scarce, ", "))
 	}
 	for _, n := range o.Nodes {
@@ -211,9 +211,9 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.1f\t%.0f\t%d\n", m.Type, m.Zone, kind, m.Up, m.Busy, m.Used, m.GPUs, m.Faulty)
 	}
-	fmt.Fprintln(w, "\nCLASS\tTEAM\tJOBS\tWAITING\tRUNNING\tDONE")
+	fmt.Fprintln(w, "\nCLASS\tTEAM\tJOBS\tOF THEM AFTER OTHERS\tWAITING\tRUNNING\tDONE")
 	for _, q := range c.Queue {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", q.Class, q.Team, q.Jobs, q.Waiting, q.Running, q.Done)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", q.Class, q.Team, q.Jobs, q.Held, q.Waiting, q.Running, q.Done)
 	}
 	fmt.Fprintln(w, "\nTEAM\tOF\tUSED\tHELD\tGUARANTEED\tLIMIT")
 	for _, t := range c.Teams {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,6 +123,40 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are limits that hold from some moment on, without notice; nil: none.
+	Next *StateNext `toml:"next"`
+}
+
+// StateNext are limits to come. What is not named stays.
+type StateNext struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// least has values and transactions keep within the smaller of both limits from
+// the start: a larger one may be under way when the limits fall.
+func (s State) least() State {
+	if s.Next != nil && s.Next.ValueKB != nil {
+		s.ValueKB = min(s.ValueKB, *s.Next.ValueKB)
+	}
+	if s.Next != nil && s.Next.TxnOps != nil {
+		s.TxnOps = min(s.TxnOps, *s.Next.TxnOps)
+	}
+	return s
+}
+
+// Rates are the rates allowed now, or those to come once they have fallen.
+func (s State) Rates(fallen bool) (rps, writeRPS float64) {
+	rps, writeRPS = s.RPS, s.WriteRPS
+	if fallen && s.Next != nil && s.Next.RPS != nil {
+		rps = min(rps, *s.Next.RPS)
+	}
+	if fallen && s.Next != nil && s.Next.WriteRPS != nil {
+		writeRPS = min(writeRPS, *s.Next.WriteRPS)
+	}
+	return rps, writeRPS
 }
 
 // Cloud limits the calls to the cloud.
@@ -164,6 +198,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
+	s.Params.State = s.Params.State.least()
 	return &s, nil
 }
 
@@ -262,6 +297,16 @@
 	if s.Params.State.TxnOps < 4 {
 		p.add("params.state.txn_ops", "must be 4 or more, is %d", s.Params.State.TxnOps)
 	}
+	if n := s.Params.State.Next; n != nil {
+		for key, v := range map[string]*float64{"rps": n.RPS, "write_rps": n.WriteRPS, "value_kb": n.ValueKB} {
+			if v != nil {
+				p.positive("params.state.next."+key, *v)
+			}
+		}
+		if n.TxnOps != nil && *n.TxnOps < 4 {
+			p.add("params.state.next.txn_ops", "must be 4 or more, is %d", *n.TxnOps)
+		}
+	}
 	p.positive("params.cloud.rps", s.Params.Cloud.RPS)
 	p.amount("params.cloud.list_lag_s", s.Params.Cloud.ListLagS)
 	p.amount("params.machine_limits.cores", s.Params.Limits.Cores)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -140,3 +140,42 @@
 		t.Errorf("a node named twice: %v", err)
 	}
 }
+
+// TestLimitsToCome: values and transactions keep within the smaller of both limits
+// from the start, rates fall only once they are found to have fallen, what is not
+// named stays, and senseless ones are named.
+func TestLimitsToCome(t *testing.T) {
+	with := func(next string) string {
+		return strings.Replace(goodSettings, "[params.cloud]", "[params.state.next]\n"+next+"\n[params.cloud]", 1)
+	}
+	for _, c := range []struct {
+		next     string
+		kb       float64
+		ops      int
+		rps, wps float64
+	}{
+		{"", 16, 12, 150, 50}, {"value_kb = 2.0\ntxn_ops = 4\nwrite_rps = 35.0", 2, 4, 150, 35},
+		{"value_kb = 32.0\ntxn_ops = 40\nrps = 900.0", 16, 12, 150, 50}, {"rps = 20.0\nnovel = 1", 16, 12, 20, 50},
+	} {
+		s, err := Parse(with(c.next))
+		if err != nil {
+			t.Fatalf("%q: %v", c.next, err)
+		}
+		st := s.Params.State
+		if st.ValueKB != c.kb || st.TxnOps != c.ops {
+			t.Errorf("%q: %v KB, %d changes", c.next, st.ValueKB, st.TxnOps)
+		}
+		if rps, wps := st.Rates(false); rps != 150 || wps != 50 {
+			t.Errorf("%q: now %v, %v", c.next, rps, wps)
+		}
+		if rps, wps := st.Rates(true); rps != c.rps || wps != c.wps {
+			t.Errorf("%q: fallen %v, %v", c.next, rps, wps)
+		}
+	}
+	for next, key := range map[string]string{"value_kb = 0.0": "params.state.next.value_kb", "txn_ops = 2": "params.state.next.txn_ops",
+		"write_rps = -1.0": "params.state.next.write_rps", "rps = nan": "params.state.next.rps"} {
+		if _, err := Parse(with(next)); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%q: %v", next, err)
+		}
+	}
+}
--- a/internal/intake/job.go
+++ b/internal/intake/job.go
@@ -51,6 +51,9 @@
 	SnapshotS    float64  `json:"snapshotS"`
 	StashS       float64  `json:"stashS"`
 	DueS         *float64 `json:"dueS,omitempty"`
+	// WaitsOn are the jobs that must be done before any task of this one starts,
+	// each once.
+	WaitsOn []string `json:"waitsOn,omitempty"`
 }
 
 var idForm = regexp.MustCompile(`^j-[0-9]{1,20}$`)
@@ -103,6 +106,7 @@
 	SnapshotS    *float64 `json:"snapshotS"`
 	StashS       *float64 `json:"stashS"`
 	DueS         *float64 `json:"dueS"`
+	WaitsOn      []string `json:"waitsOn"`
 }
 
 // DecodeJob reads a submission. Unknown fields are ignored and null equals
@@ -178,6 +182,17 @@
 	default:
 		j.Pieces = *s.Pieces
 	}
+	seen := make(map[string]bool, len(s.WaitsOn))
+	for _, id := range s.WaitsOn {
+		if !ValidID(id) {
+			fail("waitsOn", fmt.Sprintf("%.40q is not j- and digits", id))
+			break
+		}
+		if !seen[id] {
+			seen[id] = true
+			j.WaitsOn = append(j.WaitsOn, id)
+		}
+	}
 	if bad == nil {
 		switch {
 		case !ValidID(j.NameID):
--- a/internal/intake/mirror.go
+++ b/internal/intake/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -9,27 +10,64 @@
 	"thornnotch/internal/tuning"
 )
 
-// mirror remembers under which revision a node has seen each open job's
-// record. It may lag: nothing is answered from it without a proof that it
-// holds now. A record never changes, so one revision is all there is to know.
+// mirror remembers under which revision a node has seen each open job's record,
+// and which jobs it waits for. It may lag: nothing is answered from it without a
+// proof that it holds now. A record never changes, so that is all there is to know.
 type mirror struct {
 	mu   sync.Mutex
-	open map[string]uint64
+	open map[string]opened
+	// epoch is the revision up to which all changes are in, 0 before the first
+	// reading.
+	epoch uint64
 }
 
-func newMirror() *mirror { return &mirror{open: make(map[string]uint64)} }
+// opened is what is kept of one open job.
+type opened struct {
+	stamp uint64
+	needs Needs
+}
+
+func newMirror() *mirror { return &mirror{open: make(map[string]opened)} }
 
 // known is the revision of an open job's record, 0 if none is known.
-func (m *mirror) known(id string) uint64 {
+func (m *mirror) known(id string) uint64 { return m.get(id).stamp }
+
+func (m *mirror) get(id string) opened {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.open[id]
 }
 
-func (m *mirror) learn(id string, stamp uint64) {
+// free notes that all that a job waited for is done.
+func (m *mirror) free(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o, ok := m.open[id]; ok {
+		o.needs = Needs{}
+		m.open[id] = o
+	}
+}
+
+// whole notes the whole list of a job's needs.
+func (m *mirror) whole(id string, list []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o, ok := m.open[id]; ok {
+		o.needs = Needs{WaitsOn: list}
+		m.open[id] = o
+	}
+}
+
+func (m *mirror) learn(id string, stamp uint64, needs Needs) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.open[id] = stamp
+	if o, ok := m.open[id]; ok && o.stamp == stamp {
+		return // what is known of it may be more
+	}
+	if m.epoch > 0 && stamp <= m.epoch {
+		return // all of that time is in: it has gone since
+	}
+	m.open[id] = opened{stamp, needs}
 }
 
 // forget drops a job that is no longer open, if it was not learnt of after
@@ -37,18 +75,58 @@
 func (m *mirror) forget(id string, upTo uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if upTo == 0 || m.open[id] <= upTo {
+	if upTo == 0 || m.open[id].stamp <= upTo {
 		delete(m.open, id)
 	}
 }
 
-func (m *mirror) replace(rows []ledger.Row) {
+func (m *mirror) replace(rows []ledger.Row, epoch uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.open = make(map[string]uint64, len(rows))
+	m.open = make(map[string]opened, len(rows))
 	for _, r := range rows {
-		m.open[r.K[len(OpenPrefix):]] = r.Stamp
+		m.open[r.K[len(OpenPrefix):]] = opened{r.Stamp, RecordNeeds(r.V)}
+	}
+	m.epoch = epoch
+}
+
+// at is the revision up to which all changes are in.
+func (m *mirror) at() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch
+}
+
+// apply takes in all changes from a revision up to another. Two readers may come
+// with the same ones: those that are in already are passed over, as an older one
+// would bring back what has gone since. It reports false if some lie between.
+func (m *mirror) apply(log []ledger.Change, from, to uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.epoch == 0 || from > m.epoch {
+		return false
+	}
+	for _, c := range log {
+		switch {
+		case c.Stamp <= m.epoch:
+		case c.Remove != "":
+			delete(m.open, c.Remove[len(OpenPrefix):])
+		default:
+			id := c.Set[len(OpenPrefix):]
+			if o, ok := m.open[id]; !ok || o.stamp != c.Stamp {
+				m.open[id] = opened{c.Stamp, RecordNeeds(c.V)}
+			}
+		}
 	}
+	m.epoch = max(m.epoch, to)
+	return true
+}
+
+// reset has the mirror read anew.
+func (m *mirror) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.epoch = 0
 }
 
 // Mirror keeps the mirror near the truth until ctx ends.
@@ -59,27 +137,46 @@
 			sleep(ctx, tuning.MirrorEvery)
 			continue
 		}
-		s.mirror.replace(rows)
+		s.mirror.replace(rows, epoch)
 		rows = nil
 		for ctx.Err() == nil {
 			sleep(ctx, tuning.MirrorEvery)
-			next, log, err := s.store.Follow(ctx, OpenPrefix, epoch, tuning.MirrorBlock)
-			if err != nil {
+			from := s.mirror.at()
+			next, log, err := s.store.Follow(ctx, OpenPrefix, from, tuning.MirrorBlock)
+			if errors.Is(err, ledger.ErrCompacted) {
 				break // what was missed is read anew
 			}
-			epoch = next
-			for _, c := range log {
-				if c.Remove != "" {
-					s.mirror.forget(c.Remove[len(OpenPrefix):], c.Stamp)
-				} else {
-					s.mirror.learn(c.Set[len(OpenPrefix):], c.Stamp)
-				}
+			if err != nil {
+				continue
+			}
+			if !s.mirror.apply(log, from, next) {
+				break
 			}
 		}
+		s.mirror.reset()
 	}
 	return ctx.Err()
 }
 
+// errNoMirror: the open jobs have not been read yet.
+var errNoMirror = errors.New("the jobs have not been read yet")
+
+// sync brings the mirror up to a moment after it was called.
+func (s *Server) sync(ctx context.Context) error {
+	from := s.mirror.at()
+	if from == 0 {
+		return errNoMirror
+	}
+	next, log, err := s.store.Follow(ctx, OpenPrefix, from, 0)
+	if err != nil {
+		return err
+	}
+	if !s.mirror.apply(log, from, next) {
+		return errNoMirror
+	}
+	return nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/intake/poll.go
+++ b/internal/intake/poll.go
@@ -83,6 +83,15 @@
 // prove settles what it can of a batch and returns the polls that need reads
 // of their own: those whose keys are not as this node knows them.
 func (s *Server) prove(ctx context.Context, batch []ask) (rest []ask) {
+	kept := batch[:0:0]
+	for _, a := range batch {
+		if s.stillWaits(a.id) {
+			rest = append(rest, a) // its own record alone proves nothing
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	batch = kept
 	for len(batch) > 0 {
 		var when []ledger.Cond
 		seen := make(map[string]uint64, len(batch))
--- a/internal/intake/records.go
+++ b/internal/intake/records.go
@@ -1,5 +1,15 @@
 package intake
 
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"thornnotch/internal/ledger"
+)
+
 // Keys of the users' records. A job is below one prefix or the other: it
 // moves in one transaction, so a reader that looks at open first and final
 // second never misses it.
@@ -12,6 +22,9 @@
 type Final struct {
 	Status string `json:"status"`
 	Pieces int    `json:"pieces"`
+	// AtMS is when the leader found the job done, in Unix milliseconds; 0 if it is
+	// not known. Jobs that waited for this one count their times from it.
+	AtMS int64 `json:"atMs,omitempty"`
 }
 
 // Record is what is kept of an open job. It never changes.
@@ -19,4 +32,100 @@
 	Job
 	// AtMS is when the job was accepted, in Unix milliseconds.
 	AtMS int64 `json:"atMs"`
+	// Split says where the rest of WaitsOn stands if the list is too long for one
+	// value; nil: it is whole.
+	Split *Split `json:"split,omitempty"`
+}
+
+// Split names values below SplitPrefix that hold a list of jobs. They are written
+// before the record that names them, each submission's under a name of its own.
+type Split struct {
+	Upload string `json:"upload"`
+	Parts  int    `json:"parts"`
+}
+
+// SplitPrefix is where the values of split lists stand.
+const SplitPrefix = "waits/"
+
+func (s Split) key(id string, part int) string {
+	return fmt.Sprintf("%s%s/%s/%04d", SplitPrefix, id, s.Upload, part)
+}
+
+// Needs are the jobs that a record says must be done before.
+type Needs struct {
+	WaitsOn []string `json:"waitsOn"`
+	Split   *Split   `json:"split"`
 }
+
+// None tells whether nothing need be done before.
+func (n Needs) None() bool { return len(n.WaitsOn) == 0 && n.Split == nil }
+
+// RecordNeeds reads them from a job's record.
+func RecordNeeds(v json.RawMessage) (n Needs) {
+	// Most records have none, and there are many.
+	if bytes.Contains(v, []byte(`"waitsOn"`)) || bytes.Contains(v, []byte(`"split"`)) {
+		_ = json.Unmarshal(v, &n) // whoever uses the record says what is wrong with it
+	}
+	return n
+}
+
+// lister reads keys below a prefix.
+type lister interface {
+	List(ctx context.Context, class ledger.Class, prefix string) ([]ledger.Row, uint64, error)
+}
+
+// Whole completes a list that stands in several values.
+func (n Needs) Whole(ctx context.Context, store lister, class ledger.Class, id string) ([]string, error) {
+	if n.Split == nil {
+		return n.WaitsOn, nil
+	}
+	rows, _, err := store.List(ctx, class, SplitPrefix+id+"/"+n.Split.Upload+"/")
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) != n.Split.Parts {
+		return nil, fmt.Errorf("record %s%s: %d of %d parts of waitsOn", OpenPrefix, id, len(rows), n.Split.Parts)
+	}
+	all := slices.Clone(n.WaitsOn)
+	for _, r := range rows {
+		var part []string
+		if err := json.Unmarshal(r.V, &part); err != nil {
+			return nil, fmt.Errorf("record %s: %w", r.K, err)
+		}
+		all = append(all, part...)
+	}
+	return all, nil
+}
+
+// pack makes a job's record, and the parts of its list if that is too long for one
+// value of so many bytes. upload names them.
+func pack(j Job, atMS int64, limit int, upload string) (record json.RawMessage, parts []json.RawMessage, err error) {
+	record, err = json.Marshal(Record{Job: j, AtMS: atMS})
+	if err != nil || len(record) <= limit-recordSlack {
+		return record, nil, err
+	}
+	rest := j.WaitsOn
+	j.WaitsOn = nil
+	for len(rest) > 0 {
+		n, size := 0, 2
+		for n < len(rest) && size+len(rest[n])+3 <= limit-recordSlack {
+			size += len(rest[n]) + 3
+			n++
+		}
+		n = max(n, 1)
+		raw, err := json.Marshal(rest[:n])
+		if err != nil {
+			return nil, nil, err
+		}
+		parts, rest = append(parts, raw), rest[n:]
+	}
+	rec := Record{Job: j, AtMS: atMS}
+	if len(parts) > 0 {
+		rec.Split = &Split{Upload: upload, Parts: len(parts)}
+	}
+	record, err = json.Marshal(rec)
+	return record, parts, err
+}
+
+// recordSlack is left free in a value, in bytes.
+const recordSlack = 64
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -47,19 +48,22 @@
 	mirror    *mirror
 	asks      chan ask
 	conds     int // conditions that one transaction takes
+	// ops and valueBytes are what a transaction and a value may hold.
+	ops, valueBytes int
 	// submits has a place for each submission under way.
 	submits chan struct{}
 }
 
 // NewServer makes the users' interface. submits is how many submissions it takes
 // at once.
-func NewServer(store Store, teams []config.Team, txnOps, submits int, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
+func NewServer(store Store, teams []config.Team, state config.State, submits int, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
 	finals, err := lru.New[string, Final](tuning.FinalCache)
 	if err != nil {
 		return nil, err
 	}
 	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals, cancelled: vouch.NewMemory(tuning.VouchMost, time.Now()),
-		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(txnOps, 1),
+		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(state.TxnOps, 1),
+		ops: max(state.TxnOps, 1), valueBytes: int(state.ValueKB * 1024),
 		submits: make(chan struct{}, max(submits, 1))}, nil
 }
 
@@ -140,12 +144,7 @@
 	j, err := DecodeJob(raw)
 	if err != nil {
 		s.log.Debug("malformed submission", "err", err)
-		var fe *FieldError
-		if errors.As(err, &fe) {
-			WriteJSON(w, http.StatusBadRequest, problem{fe.Problem, fe.Field})
-		} else {
-			WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
-		}
+		malformed(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.UserPatience)
@@ -168,18 +167,55 @@
 		}
 		return
 	}
-	value, err := json.Marshal(Record{*j, time.Now().UnixMilli()})
+	cancelled := false
+	if len(j.WaitsOn) > 0 {
+		unknown, err := s.unknown(ctx, j.WaitsOn)
+		if err != nil {
+			later(w, "the state service can't be asked")
+			return
+		}
+		if unknown != "" {
+			// Whatever a repeat names, a job known already is known.
+			st, found, lookErr := s.look(ctx, j.NameID, ledger.Submit)
+			switch {
+			case lookErr != nil:
+				later(w, "the state service can't be asked")
+			case found:
+				WriteJSON(w, http.StatusOK, st)
+			default:
+				WriteJSON(w, http.StatusUnprocessableEntity, problem{fmt.Sprintf("%s was never accepted", unknown), "waitsOn"})
+			}
+			return
+		}
+		// Best effort: a job before it that is cancelled, or comes to be, has this
+		// one cancelled in any case.
+		cancelled, _ = s.before(ctx, j.WaitsOn, ledger.Submit)
+	}
+	value, parts, err := pack(*j, time.Now().UnixMilli(), s.valueBytes, s.upload())
 	if err != nil {
 		WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
 		return
 	}
+	write := ledger.Write{Set: OpenPrefix + j.NameID, V: value}
+	if cancelled {
+		raw, _ := json.Marshal(Final{Status: Aborted}) // plain fields always encode
+		write, parts = ledger.Write{Set: FinalPrefix + j.NameID, V: raw}, nil
+	}
+	if err := s.putParts(ctx, j.NameID, RecordNeeds(value), parts); err != nil {
+		later(w, "the job can't be recorded now")
+		return
+	}
 	epoch, err := s.store.Multi(ctx, ledger.Submit,
-		[]ledger.Cond{{K: OpenPrefix + j.NameID}, {K: FinalPrefix + j.NameID}},
-		[]ledger.Write{{Set: OpenPrefix + j.NameID, V: value}})
+		[]ledger.Cond{{K: OpenPrefix + j.NameID}, {K: FinalPrefix + j.NameID}}, []ledger.Write{write})
 	var conflict *ledger.Conflict
 	switch {
 	case err == nil:
-		s.mirror.learn(j.NameID, epoch)
+		if cancelled {
+			s.settle(j.NameID, Final{Status: Aborted})
+			WriteJSON(w, http.StatusCreated, State{NameID: j.NameID, Status: Aborted})
+			return
+		}
+		s.mirror.learn(j.NameID, epoch, RecordNeeds(value))
 		WriteJSON(w, http.StatusCreated, State{NameID: j.NameID, Status: Pending})
 	case errors.As(err, &conflict):
 		st, found, err := s.look(ctx, j.NameID, ledger.Submit)
@@ -200,19 +236,27 @@
 	if f, ok := s.finals.Get(id); ok {
 		return finalState(id, f), true, nil
 	}
+	known := s.mirror.known(id)
 	row, found, err := s.store.Get(ctx, class, OpenPrefix+id)
 	if err != nil {
 		return State{}, false, err
 	}
 	if found {
-		s.mirror.learn(id, row.Stamp)
+		s.mirror.learn(id, row.Stamp, RecordNeeds(row.V))
+		if off, err := s.waits(ctx, id, row, class); err != nil {
+			return State{}, false, err
+		} else if off {
+			return finalState(id, Final{Status: Aborted}), true, nil
+		}
 		var tasks map[string]Tasks
 		if s.progress != nil {
 			tasks = s.progress(ctx, []string{id})
 		}
 		return openState(id, tasks[id]), true, nil
 	}
-	s.mirror.forget(id, 0)
+	if known != 0 {
+		s.mirror.forget(id, known)
+	}
 	return s.lookFinal(ctx, id, class)
 }
 
--- /dev/null
+++ b/internal/intake/waits.go
@@ -0,0 +1,186 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/tuning"
+)
+
+// A job that waits for others is cancelled as soon as any job before it is, directly
+// or through others. That is a function of records that never change back, so every
+// node answers by it at once, whether or not the leader has written the job's own
+// final record yet.
+
+// upload draws a name for the values of one submission's list.
+func (s *Server) upload() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// putParts writes the values of a long list, ahead of the record that names them.
+// What is left of a submission that comes no further is never looked at.
+func (s *Server) putParts(ctx context.Context, id string, n Needs, parts []json.RawMessage) error {
+	for at := 0; at < len(parts); {
+		var writes []ledger.Write
+		size := 0
+		for len(writes) < s.ops && at < len(parts) && (size == 0 || size+len(parts[at]) <= tuning.TxnBytes) {
+			writes = append(writes, ledger.Write{Set: n.Split.key(id, at), V: parts[at]})
+			size += len(parts[at])
+			at++
+		}
+		if _, err := s.store.Multi(ctx, ledger.Submit, nil, writes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// unknown names a job of a list that no user had accepted; empty if there is none.
+// A job accepted once stays so: it is open or final. Most are known here; of the
+// others one transaction that demands that they do not exist names those that do.
+func (s *Server) unknown(ctx context.Context, ids []string) (string, error) {
+	var ask []string
+	for _, id := range ids {
+		if s.mirror.known(id) == 0 && !s.finals.Contains(id) {
+			ask = append(ask, id)
+		}
+	}
+	for len(ask) > 0 {
+		batch := ask[:min(len(ask), max(s.conds/2, 1))]
+		ask = ask[len(batch):]
+		var when []ledger.Cond
+		for _, id := range batch {
+			when = append(when, ledger.Cond{K: OpenPrefix + id}, ledger.Cond{K: FinalPrefix + id})
+		}
+		_, err := s.store.Multi(ctx, ledger.Submit, when, nil)
+		var conflict *ledger.Conflict
+		switch {
+		case err == nil:
+			return batch[0], nil // none of them exists
+		case !errors.As(err, &conflict):
+			return "", err
+		}
+		for _, id := range batch {
+			if conflict.Has(OpenPrefix+id) || conflict.Has(FinalPrefix+id) {
+				continue
+			}
+			_, found, err := s.store.Get(ctx, ledger.Submit, OpenPrefix+id)
+			if err == nil && !found {
+				_, found, err = s.lookFinal(ctx, id, ledger.Submit)
+			}
+			if err != nil {
+				return "", err
+			}
+			if !found {
+				return id, nil
+			}
+		}
+	}
+	return "", nil
+}
+
+// before tells whether a job that waits for these is cancelled with one of them, as
+// the open jobs are known here. A job that is done has nothing cancelled before it.
+func (s *Server) before(ctx context.Context, ids []string, class ledger.Class) (cancelled bool, err error) {
+	seen := make(map[string]bool)
+	queue := append([]string(nil), ids...)
+	for len(queue) > 0 {
+		id := queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		if f, ok := s.finals.Get(id); ok {
+			if f.Status == Aborted {
+				return true, nil
+			}
+			continue
+		}
+		o := s.mirror.get(id)
+		if o.stamp == 0 {
+			st, found, err := s.lookFinal(ctx, id, class)
+			if err != nil {
+				return false, err
+			}
+			if !found {
+				return false, fmt.Errorf("%s is neither open nor final as known here", id)
+			}
+			if st.Status == Aborted {
+				return true, nil
+			}
+			continue
+		}
+		list, err := s.whole(ctx, id, o.needs, class)
+		if err != nil {
+			return false, err
+		}
+		queue = append(queue, list...)
+	}
+	return false, nil
+}
+
+// whole reads the rest of a list that stands in several values, once.
+func (s *Server) whole(ctx context.Context, id string, n Needs, class ledger.Class) ([]string, error) {
+	if n.Split == nil {
+		return n.WaitsOn, nil
+	}
+	list, err := n.Whole(ctx, s.store, class, id)
+	if err == nil {
+		s.mirror.whole(id, list)
+	}
+	return list, err
+}
+
+// waits tells whether an open job is cancelled with one before it. The mirror is
+// brought up to a moment after the question: what is open in it then was not
+// cancelled, and what is not open has a final record, which never changes.
+func (s *Server) waits(ctx context.Context, id string, row ledger.Row, class ledger.Class) (cancelled bool, err error) {
+	needs := RecordNeeds(row.V)
+	if needs.None() {
+		return false, nil
+	}
+	if o := s.mirror.get(id); o.stamp == row.Stamp && o.needs.None() {
+		return false, nil // all that it waited for is done
+	}
+	if err := s.sync(ctx); err != nil {
+		return false, err
+	}
+	list, err := s.whole(ctx, id, needs, class)
+	if err != nil {
+		return false, err
+	}
+	cancelled, err = s.before(ctx, list, class)
+	switch {
+	case err != nil:
+		return false, err
+	case cancelled:
+		s.settle(id, Final{Status: Aborted})
+		return true, nil
+	}
+	for _, n := range list {
+		if f, ok := s.finals.Get(n); !ok || f.Status != Done {
+			return false, nil
+		}
+	}
+	s.mirror.free(id)
+	return false, nil
+}
+
+// stillWaits tells whether an open job, as known here, may yet be cancelled with one
+// before it, so that its own record proves nothing of its state.
+func (s *Server) stillWaits(id string) bool { return !s.mirror.get(id).needs.None() }
+
+// malformed answers a submission that can't be read.
+func malformed(w http.ResponseWriter, err error) {
+	var fe *FieldError
+	if errors.As(err, &fe) {
+		WriteJSON(w, http.StatusBadRequest, problem{fe.Problem, fe.Field})
+		return
+	}
+	WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
+}
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -23,8 +23,10 @@
 type committer struct {
 	log  *wal.Writer
 	busy bool
-	// final are the jobs whose tasks are all done, to be moved.
+	// final are the jobs whose tasks are all done, to be moved; off are those that
+	// are cancelled with one before them.
 	final   []*job
+	off     []*job
 	remains map[string]uint64 // leftover keys of the earlier format, with their revision
 	retryAt time.Time
 	backoff time.Duration
@@ -45,7 +47,7 @@
 	}
 	var at time.Time
 	switch {
-	case c.log.Pending() || len(c.final) > 0:
+	case c.log.Pending() || len(c.final) > 0 || len(c.off) > 0:
 		at = c.last.Add(tuning.CommitEvery)
 	case c.log.Checkpointing() || len(c.remains) > 0:
 		at = c.last.Add(tuning.CheckpointEvery)
@@ -121,6 +123,11 @@
 		}
 	}
 	c.final = kept
+	for len(c.off) > 0 && len(extras) < tuning.FinalsAtOnce && room >= 2 {
+		room -= 2
+		extras = append(extras, l.offExtra(c.off[0]))
+		c.off = c.off[1:]
+	}
 	for key, stamp := range c.remains {
 		if room < 1 || len(extras) > 0 && len(c.final) > 0 {
 			break
@@ -180,6 +187,10 @@
 		c.log.Clashed(o.failed.Has)
 		l.dirty = true
 		return
+	case errors.Is(o.err, ledger.ErrRefused):
+		l.d.Log.Error("records are refused", "err", o.err)
+		l.end(ErrTooLarge)
+		return
 	case o.err == nil:
 		c.log.Stood(o.epoch)
 	default:
@@ -203,13 +214,15 @@
 // user's cancellation came first: exactly one of both wins.
 func (l *Leader) finalExtra(j *job) wal.Extra {
 	name := j.spec.NameID
-	v, _ := json.Marshal(intake.Final{Status: intake.Done, Pieces: j.spec.Pieces}) // plain fields always encode
+	at := time.Now()
+	v, _ := json.Marshal(intake.Final{Status: intake.Done, Pieces: j.spec.Pieces, AtMS: at.UnixMilli()}) // plain fields always encode
 	return wal.Extra{
 		When:   []ledger.Cond{{K: intake.OpenPrefix + name, Stamp: j.stamp}},
 		Writes: []ledger.Write{{Remove: intake.OpenPrefix + name}, {Set: intake.FinalPrefix + name, V: v}},
 		Stood: func(uint64) {
 			l.d.Log.Debug("job done", "id", name)
 			l.bury(j, time.Now())
+			l.fate(name, intake.Final{Status: intake.Done, AtMS: at.UnixMilli()}, time.Now())
 		},
 		// Ended already by its user.
 		Clash: func() { l.bury(j, time.Now()) },
@@ -291,6 +304,7 @@
 		l.ghosts[name] = &ghost{owner: j.spec.Owner, need: placement.Need(j.spec), seats: len(seats)}
 	}
 	delete(l.jobs, name)
+	l.wantFate(name)
 	for a, r := range j.exits {
 		l.settle(r, a)
 	}
--- a/internal/leader/gap_test.go
+++ b/internal/leader/gap_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -204,3 +205,21 @@
 		_ = group.Wait()
 	})
 }
+
+// TestRefusedTransactionEndsTheTerm: a transaction that the state service takes for
+// too large must not be sent for ever; the term ends, and with it whatever of the
+// transaction may still be under way.
+func TestRefusedTransactionEndsTheTerm(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	addRig(l, "m-1", "east", now)
+	addJob(t, l, sweep("j-1", 1), now)
+	l.pass(now)
+	if l.next() == nil {
+		t.Fatal("nothing to write")
+	}
+	l.committed(outcome{err: fmt.Errorf("multi: %w", ledger.ErrRefused)})
+	if !errors.Is(l.ended, ErrTooLarge) {
+		t.Errorf("ended: %v", l.ended)
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -65,9 +65,15 @@
 	notBefore time.Time
 	avoid     map[string]time.Time
 	noted     bool // how it fared among the largest of its class is known
-	closing   bool // all tasks are done, the final record is being written
-	moving    bool // a transaction with the final record is under way
-	gone      bool // cancelled or ended
+	// before are the jobs that must be done first and are not known to be, asks is
+	// set while not even their names are.
+	before map[string]bool
+	asks   bool
+	// accepted is when it was submitted; its view counts from when it could start.
+	accepted time.Time
+	closing  bool // all tasks are done, the final record is being written
+	moving   bool // a transaction with the final record is under way
+	gone     bool // cancelled or ended
 }
 
 // bitset is a set of tasks.
@@ -114,27 +120,38 @@
 		exits: make(map[*fleet.Attempt]*rig), stale: true, seats: make(map[int][]seat), avoid: make(map[string]time.Time),
 		again: make(map[int]bool),
 	}
-	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now, Targets: l.targets(&spec)}
+	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now, Targets: l.targets(&spec, 0)}
 	if at := time.UnixMilli(rec.AtMS); rec.AtMS > 0 && at.Before(now) {
 		j.view.Submitted = at
 	}
+	j.accepted = j.view.Submitted
 	l.jobs[name] = j
 	p := j.view.Pipeline()
 	l.pipelines[p] = append(l.pipelines[p], j)
 	l.arrivals[spec.Workload]++
 	l.sized(&spec)
-	if at := j.view.Submitted; now.Sub(at) <= tuning.RecentWindow {
-		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, spec.Pieces), l.wantsWhole(&spec)})
+	if needs := (intake.Needs{WaitsOn: spec.WaitsOn, Split: rec.Split}); !needs.None() {
+		l.mustWait(j, needs)
+	} else {
+		l.comes(j, now)
 	}
 	l.dirty = true
 	l.d.Log.Debug("job", "id", name, "owner", spec.Owner, "workload", spec.Workload, "pieces", spec.Pieces)
 }
 
+// comes counts a job that may start among those that came lately.
+func (l *Leader) comes(j *job, now time.Time) {
+	if at := j.view.Submitted; now.Sub(at) <= tuning.RecentWindow {
+		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, j.spec.Pieces), l.wantsWhole(j.spec)})
+	}
+}
+
 // targets are the latest starts at which a job still meets its users' aims, of
 // whichever kind: by a time, or by its due time and some times that. A class
 // without aims goes by the job's own due time. The image may have to be fetched
-// first.
-func (l *Leader) targets(spec *intake.Job) (out []time.Duration) {
+// first. They count from when the job could start; its due time counts from its
+// submission, and it has waited for so long.
+func (l *Leader) targets(spec *intake.Job, waited time.Duration) (out []time.Duration) {
 	fetch := 0.0
 	if cat := l.d.Catalog(); cat != nil {
 		for _, t := range cat.RigTypes {
@@ -154,12 +171,12 @@
 			out = append(out, config.Seconds(o.WithinS-spec.ExpectS-fetch))
 		case config.AimDeadline:
 			if spec.DueS != nil {
-				out = append(out, config.Seconds(*spec.DueS*o.Due()-spec.ExpectS-fetch))
+				out = append(out, config.Seconds(*spec.DueS*o.Due()-spec.ExpectS-fetch)-waited)
 			}
 		}
 	}
 	if len(out) == 0 && spec.DueS != nil {
-		out = append(out, config.Seconds(*spec.DueS-spec.ExpectS-fetch))
+		out = append(out, config.Seconds(*spec.DueS-spec.ExpectS-fetch)-waited)
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i] < out[k] })
 	return out
@@ -485,7 +502,7 @@
 			continue
 		}
 		kept = append(kept, j)
-		if j != up && !j.placed && (best == nil || j.stamp < best.stamp) {
+		if j != up && !j.placed && !j.waiting() && (best == nil || j.stamp < best.stamp) {
 			best = j
 		}
 	}
--- a/internal/leader/largest.go
+++ b/internal/leader/largest.go
@@ -69,7 +69,7 @@
 // or when it has waited too long.
 func (l *Leader) fared(j *job, now time.Time) {
 	g := l.largest[j.spec.Workload]
-	if j.noted || j.inherited && !j.started.IsZero() || g == nil || j.spec.Shape != intake.Gang || j.spec.Pieces < g.size {
+	if j.noted || j.waiting() || j.inherited && !j.started.IsZero() || g == nil || j.spec.Shape != intake.Gang || j.spec.Pieces < g.size {
 		return
 	}
 	late := now.Sub(j.view.Submitted) > tuning.LargestWithin
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -67,6 +67,11 @@
 // errDeposed ends a term: another node leads.
 var errDeposed = errors.New("deposed: another node has raised the term")
 
+// ErrTooLarge ends a term whose transactions are larger than the state service
+// takes. The next one writes smaller ones; whatever of this one is still under way
+// can't be carried out any more.
+var ErrTooLarge = errors.New("the state service refuses transactions of this size")
+
 // errTriesUsed ends a term whose attempt numbers are used up; the next one has
 // new ones.
 var errTriesUsed = errors.New("attempt numbers of this term are used up")
@@ -126,6 +131,8 @@
 	// ghosts are jobs that are over while attempts of them may still run.
 	ghosts  map[string]*ghost
 	largest map[string]*largest // by class
+	// waits is what the jobs that wait for others wait for.
+	waits waits
 	// arrivals counts the jobs of each class, older ones for less.
 	arrivals map[string]float64
 	// rates are the tasks of each class placed a second, of late.
@@ -153,6 +160,7 @@
 		lazies:    make(map[*rig]bool),
 	}
 	l.committer.init()
+	l.waits.init()
 	l.openLog(wal.Head{}, 0)
 	l.market.init()
 	return l
@@ -415,6 +423,7 @@
 	}
 	l.dirty = true
 	l.loaded = true
+	l.linkAll(now)
 	l.d.Log.Info("records loaded", "term", l.grant.Term, "jobs", len(l.jobs), "machines", len(l.rigs),
 		"log", st.Head.Next-st.Head.From, "took_ms", time.Since(start).Milliseconds())
 	return epoch, nil
@@ -540,6 +549,7 @@
 			l.dirty = true
 		}
 	}
+	l.askFates(now)
 	l.trade(now)
 	if now.Sub(l.lastPass) > time.Second {
 		l.dirty = true // estimates and spare room change with time alone
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -170,7 +170,7 @@
 	w := &placement.World{Now: now, Teams: make(map[string]*placement.Team), Rate: l.rates}
 	all := make([]*placement.Job, 0, len(l.jobs))
 	for _, j := range l.jobs {
-		if j.closing {
+		if j.closing || j.waiting() {
 			continue
 		}
 		l.show(j, now)
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -55,12 +55,14 @@
 
 // QueueCount counts one team's jobs of one class.
 type QueueCount struct {
-	Class   string `json:"class"`
-	Team    string `json:"team"`
-	Jobs    int    `json:"jobs"`
-	Waiting int    `json:"tasksWaiting"`
-	Running int    `json:"tasksRunning"`
-	Done    int    `json:"tasksDone"`
+	Class string `json:"class"`
+	Team  string `json:"team"`
+	Jobs  int    `json:"jobs"`
+	// Held are those of them that wait for other jobs.
+	Held    int `json:"jobsWaitingForOthers"`
+	Waiting int `json:"tasksWaiting"`
+	Running int `json:"tasksRunning"`
+	Done    int `json:"tasksDone"`
 }
 
 // TeamUse is what a team uses of its levels, held room included.
@@ -176,6 +178,10 @@
 			}
 		}
 		q.Jobs++
+		if j.waiting() {
+			q.Held++
+			continue // its tasks wait for no machine
+		}
 		q.Done += j.doneN
 		q.Running += run
 		q.Waiting += max(0, j.spec.Pieces-j.doneN-run)
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -395,7 +395,7 @@
 	}
 	for _, j := range l.jobs {
 		left := j.spec.Pieces - j.doneN
-		if left <= 0 {
+		if left <= 0 || j.waiting() {
 			continue
 		}
 		v.Demand = append(v.Demand, demandOf(j, left))
--- /dev/null
+++ b/internal/leader/waits.go
@@ -0,0 +1,210 @@
+package leader
+
+import (
+	"encoding/json"
+	"time"
+
+	"thornnotch/internal/intake"
+	"thornnotch/internal/leader/wal"
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/tuning"
+)
+
+// Jobs that wait for others. Such a job is shown to nobody, neither placement nor
+// the market, until each job that it names is done by its final record: that all
+// its tasks are done in the log is too early, as its user's cancellation can still
+// win that key. Final records never change, so reading one decides for good; while
+// it can't be read the job waits on.
+
+// waits is what they wait for.
+type waits struct {
+	// after are the jobs that wait for one, by its name.
+	after map[string][]*job
+	// wanted are the names whose final record is to be read, asking those whose
+	// reading is under way.
+	wanted map[string]bool
+	asking map[string]bool
+	// unnamed are the jobs whose list of names is to be read.
+	unnamed map[*job]intake.Needs
+	retryAt time.Time
+}
+
+func (w *waits) init() {
+	w.after = make(map[string][]*job)
+	w.wanted = make(map[string]bool)
+	w.asking = make(map[string]bool)
+	w.unnamed = make(map[*job]intake.Needs)
+}
+
+// waiting tells whether a job before this one is not known to be done.
+func (j *job) waiting() bool { return j.asks || len(j.before) > 0 }
+
+// mustWait takes in what a job waits for.
+func (l *Leader) mustWait(j *job, needs intake.Needs) {
+	j.asks = true
+	if needs.Split != nil || !l.loaded {
+		// Not all names are known, or not all open jobs.
+		l.waits.unnamed[j] = needs
+		return
+	}
+	l.link(j, needs.WaitsOn)
+}
+
+// linkAll links the jobs that were read at the takeover, once all are known.
+func (l *Leader) linkAll(now time.Time) {
+	for j, needs := range l.waits.unnamed {
+		if needs.Split == nil {
+			delete(l.waits.unnamed, j)
+			l.link(j, needs.WaitsOn)
+		}
+	}
+	l.askFates(now)
+}
+
+// link has a job wait for the jobs that are named.
+func (l *Leader) link(j *job, names []string) {
+	j.asks = false
+	j.before = make(map[string]bool, len(names))
+	for _, name := range names {
+		if j.before[name] {
+			continue
+		}
+		j.before[name] = true
+		l.waits.after[name] = append(l.waits.after[name], j)
+		if l.jobs[name] == nil {
+			l.waits.wanted[name] = true // not open: it must be final
+		}
+	}
+}
+
+// wantFate has a job's final record read if others wait for it.
+func (l *Leader) wantFate(name string) {
+	if len(l.waits.after[name]) > 0 {
+		l.waits.wanted[name] = true
+	}
+}
+
+// askFates reads what decides over the jobs that wait, some at a time.
+func (l *Leader) askFates(now time.Time) {
+	w := &l.waits
+	if len(w.wanted) == 0 && len(w.unnamed) == 0 || now.Before(w.retryAt) {
+		return
+	}
+	for name := range w.wanted {
+		if len(w.asking) >= tuning.FatesAtOnce {
+			break
+		}
+		if w.asking[name] {
+			continue
+		}
+		if l.jobs[name] != nil || len(w.after[name]) == 0 {
+			delete(w.wanted, name) // it is open after all, or nobody waits
+			continue
+		}
+		w.asking[name] = true
+		l.tasks.Go(func() error {
+			row, found, err := l.d.Store.Get(l.ctx, ledger.Record, intake.FinalPrefix+name)
+			l.do(l.ctx, func() {
+				delete(w.asking, name)
+				var f intake.Final
+				if err == nil && found {
+					err = json.Unmarshal(row.V, &f)
+				}
+				if err != nil || !found {
+					// Not readable now; or not final: then the watch brings it.
+					w.retryAt = time.Now().Add(tuning.FateRetry)
+					return
+				}
+				l.fate(name, f, time.Now())
+				l.askFates(time.Now())
+			})
+			return nil
+		})
+	}
+	for j, needs := range w.unnamed {
+		name := j.spec.NameID
+		if j.gone {
+			delete(w.unnamed, j)
+			continue
+		}
+		if len(w.asking) >= tuning.FatesAtOnce || w.asking["list of "+name] {
+			continue
+		}
+		w.asking["list of "+name] = true
+		l.tasks.Go(func() error {
+			names, err := needs.Whole(l.ctx, l.d.Store, ledger.Record, name)
+			l.do(l.ctx, func() {
+				delete(w.asking, "list of "+name)
+				if err != nil {
+					l.d.Log.Info("a list of jobs can't be read", "id", name, "err", err)
+					w.retryAt = time.Now().Add(tuning.FateRetry)
+					return
+				}
+				if _, still := w.unnamed[j]; still {
+					delete(w.unnamed, j)
+					l.link(j, names)
+					l.askFates(time.Now())
+				}
+			})
+			return nil
+		})
+	}
+}
+
+// fate takes in how a job ended, by its final record: those that wait for it have one
+// less to wait for, or are cancelled with it, and so are those that wait for them.
+// No call goes deeper than this, however long the chain.
+func (l *Leader) fate(name string, f intake.Final, now time.Time) {
+	w := &l.waits
+	type end struct {
+		name string
+		f    intake.Final
+	}
+	for queue := []end{{name, f}}; len(queue) > 0; queue = queue[1:] {
+		e := queue[0]
+		after := w.after[e.name]
+		delete(w.after, e.name)
+		delete(w.wanted, e.name)
+		for _, j := range after {
+			if j.gone {
+				continue
+			}
+			if e.f.Status != intake.Done {
+				l.d.Log.Debug("job cancelled with one before it", "id", j.spec.NameID, "before", e.name)
+				l.bury(j, now)
+				l.committer.off = append(l.committer.off, j)
+				queue = append(queue, end{j.spec.NameID, intake.Final{Status: intake.Aborted}})
+				continue
+			}
+			delete(j.before, e.name)
+			if at := time.UnixMilli(e.f.AtMS); e.f.AtMS > 0 && at.After(j.view.Submitted) && !at.After(now) {
+				j.view.Submitted = at
+			}
+			if !j.waiting() {
+				l.mayStart(j, now)
+			}
+		}
+	}
+}
+
+// mayStart is called when all jobs before this one are done. Its times count from
+// when the last was, by its record; its due time from its submission.
+func (l *Leader) mayStart(j *job, now time.Time) {
+	j.view.Targets = l.targets(j.spec, j.view.Submitted.Sub(j.accepted))
+	j.servedAt = now
+	j.stale = true
+	l.comes(j, now)
+	l.dirty = true
+	l.d.Log.Debug("nothing is left to wait for", "id", j.spec.NameID, "waited_s", now.Sub(j.accepted).Seconds())
+}
+
+// offExtra writes the final record of a job that is cancelled with one before it.
+func (l *Leader) offExtra(j *job) wal.Extra {
+	name := j.spec.NameID
+	v, _ := json.Marshal(intake.Final{Status: intake.Aborted}) // plain fields always encode
+	return wal.Extra{
+		When:   []ledger.Cond{{K: intake.OpenPrefix + name, Stamp: j.stamp}},
+		Writes: []ledger.Write{{Remove: intake.OpenPrefix + name}, {Set: intake.FinalPrefix + name, V: v}},
+		Again:  func() { l.committer.off = append(l.committer.off, j) },
+	}
+}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -26,6 +26,9 @@
 	// ErrUnknown: no usable answer; the request may have been, or may yet
 	// be, executed.
 	ErrUnknown = errors.New("state service gave no answer")
+	// ErrRefused: the request is not one that the service takes (400), and was not
+	// executed: it is larger than the limits allow now.
+	ErrRefused = errors.New("state service refuses the request")
 	// ErrNoLease: the lease has ended.
 	ErrNoLease = errors.New("no such lease")
 	// ErrCompacted: the watch's start is too old; the keys must be read again.
@@ -82,6 +85,8 @@
 	http   *http.Client
 	Budget *Budget
 	health health
+	// Limited, if set, is called with each refusal for too many calls.
+	Limited func()
 }
 
 // health follows whether the service answers this node.
@@ -144,6 +149,9 @@
 	if ctx.Err() == nil && status != http.StatusTooManyRequests {
 		c.health.note(err == nil)
 	}
+	if status == http.StatusTooManyRequests && c.Limited != nil {
+		c.Limited()
+	}
 	return status, raw, err
 }
 
@@ -271,6 +279,8 @@
 		return 0, &Conflict{Failed: f.Failed}
 	case status == http.StatusBadRequest && bytes.Contains(raw, []byte("no such lease")):
 		return 0, ErrNoLease
+	case status == http.StatusBadRequest:
+		return 0, fmt.Errorf("multi of %d changes: %w: %.120s", len(writes), ErrRefused, raw)
 	}
 	return 0, unexpected(http.MethodPost, "/multi", status, raw)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,13 +63,21 @@
 	users   http.Handler
 	intake  atomic.Pointer[intake.Server]
 	sockets *sockets
+	limits  limits
+	version string
 }
 
 // New makes a node from its settings.
 func New(set *config.Settings, op config.Operator, network Network, log *slog.Logger) *Node {
 	n := &Node{net: network, set: set, op: op, log: log,
-		sockets: newSockets(set.SocketLimit())}
+		sockets: newSockets(set.SocketLimit()), version: buildVersion()}
 	n.store = ledger.New(set.Services.State, ledger.NewBudget(n.share(false)), network.DialContext)
+	n.store.Limited = func() {
+		if n.limits.refused(time.Now()) {
+			n.log.Info("the state service has lowered its rates")
+			n.store.Budget.SetShare(n.share(n.leading.Load() != nil))
+		}
+	}
 	n.cloud = market.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use, network.DialContext)
 	n.elector = term.New(set.Label, n.store, log)
 	addrs := make(map[string]string)
@@ -92,7 +100,8 @@
 		}
 		return (1 - leaders) / float64(others) * n.op.Budgets.Use
 	}
-	return n.set.Params.State.RPS * part(n.op.Budgets.LeaderShare), n.set.Params.State.WriteRPS * part(n.op.Budgets.LeaderWriteShare)
+	rps, writeRPS = n.set.Params.State.Rates(n.limits.fallen.Load())
+	return rps * part(n.op.Budgets.LeaderShare), writeRPS * part(n.op.Budgets.LeaderWriteShare)
 }
 
 // submitsAtOnce is how many submissions this node can have recorded in the time
@@ -116,7 +125,7 @@
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	users, err := intake.NewServer(n.store, n.set.Params.Teams, n.set.Params.State.TxnOps, n.submitsAtOnce(), func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
+	users, err := intake.NewServer(n.store, n.set.Params.Teams, n.set.Params.State, n.submitsAtOnce(), func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
 	if err != nil {
 		return err
 	}
@@ -185,8 +194,10 @@
 
 // lead runs one term.
 func (n *Node) lead(ctx context.Context, g term.Grant) error {
+	set := *n.set
+	set.Params.State = n.limits.within(set.Params.State)
 	l := leader.New(leader.Deps{
-		Settings: n.set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(n.net.DialContext),
+		Settings: &set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(n.net.DialContext),
 		Catalog: n.catalog.Load, Drawn: n.store.Budget.Drawn, Vouch: n.allVouch, Log: n.log,
 	}, g)
 	n.store.Budget.SetShare(n.share(true))
@@ -195,7 +206,11 @@
 		n.leading.Store(nil)
 		n.store.Budget.SetShare(n.share(false))
 	}()
-	return l.Run(ctx)
+	err := l.Run(ctx)
+	if errors.Is(err, leader.ErrTooLarge) {
+		n.limits.shrink()
+	}
+	return err
 }
 
 // ready tells whether users may be sent here. It does not follow the state
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -18,6 +19,7 @@
 type NodeStatus struct {
 	Label         string  `json:"label"`
 	Reachable     bool    `json:"reachable"`
+	Version       string  `json:"version,omitempty"`
 	Leads         bool    `json:"leads"`
 	Leader        string  `json:"leader"` // whom it takes for the leader
 	Term          uint64  `json:"term"`
@@ -42,8 +44,26 @@
 	Cluster *leader.Status `json:"cluster"`
 }
 
+// buildVersion names the sources that the program was built from: during an upgrade
+// nodes of two versions serve side by side.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= revisionShown {
+			return s.Value[:revisionShown]
+		}
+	}
+	return info.Main.Version
+}
+
+// revisionShown is how much of a commit's name is shown.
+const revisionShown = 12
+
 func (n *Node) own() NodeStatus {
-	s := NodeStatus{Label: n.set.Label, Reachable: true, Leads: n.leading.Load() != nil, CloudTokens: n.cloud.Tokens()}
+	s := NodeStatus{Label: n.set.Label, Reachable: true, Version: n.version, Leads: n.leading.Load() != nil, CloudTokens: n.cloud.Tokens()}
 	s.Leader, s.Term = n.elector.Leader()
 	s.RequestTokens, s.WriteTokens = n.store.Budget.Left()
 	s.Sockets, s.Threads, s.MemoryMB = n.sockets.use(), threads(), memoryMB()
@@ -123,6 +143,7 @@
 	if own.Leads {
 		leads = 1
 	}
+	put(desc("build", "1, with the version that the node runs.", "version"), 1, own.Version)
 	put(desc("leads", "1 if this node leads."), leads)
 	put(desc("term", "The newest term that this node knows."), float64(own.Term))
 	put(desc("state_request_tokens", "Requests to the state service that may be made at once."), own.RequestTokens)
@@ -180,6 +201,7 @@
 	}
 	put(desc("machines_booting", "Machines rented that have not reported."), float64(st.Booting))
 	for _, q := range st.Queue {
+		put(desc("jobs_after_others", "Jobs that wait for other jobs.", "class", "team"), float64(q.Held), q.Class, q.Team)
 		put(desc("tasks_waiting", "Tasks that do not run yet.", "class", "team"), float64(q.Waiting), q.Class, q.Team)
 		put(desc("tasks_running", "Tasks on machines.", "class", "team"), float64(q.Running), q.Class, q.Team)
 	}
--- /dev/null
+++ b/internal/node/waits_test.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"thornnotch/internal/intake"
+	"thornnotch/internal/standin"
+)
+
+// Jobs that wait for others, on a whole site: no task begins before all that its
+// job needs is done, and what comes after a cancelled job is cancelled, as every
+// node says, through whatever else happens.
+
+// chains submits chains and diamonds of jobs, each as soon as those that it needs
+// are accepted, and tells their names: the first ones, and all that wait.
+func (m *scene) chains(n int) (first, after []string) {
+	for k := range n {
+		var stage []string
+		for i := range 1 + k%2 {
+			j := testJob(0, []string{"a", "b"}[(k+i)%2], intake.Sweep, 2)
+			j.ExpectS = 4 + float64(m.intn(8))
+			stage = append(stage, m.run(j))
+		}
+		first = append(first, stage...)
+		for d := range 3 {
+			var next []string
+			for i := range 1 + (k+d)%2 {
+				j := testJob(0, []string{"a", "b"}[(k+d+i)%2], []string{intake.Sweep, intake.Gang}[d%2], 1+m.intn(3))
+				j.ExpectS, j.WaitsOn = 3+float64(m.intn(5)), append(append([]string{}, stage...), stage[0])
+				next = append(next, m.run(j))
+			}
+			after = append(after, next...)
+			stage = next
+		}
+	}
+	return first, after
+}
+
+func waitScenes(t *testing.T, act func(m *scene, first, after []string)) {
+	meet(t, nil, func(m *scene) {
+		first, after := m.chains(4)
+		act(m, first, after)
+	})
+}
+
+// outcomes counts how jobs ended, as users were told.
+func (m *scene) outcomes(ids []string) map[string]int {
+	out := map[string]int{}
+	for _, id := range ids {
+		out[m.heard(id)]++
+	}
+	return out
+}
+
+// TestChains: all run in their order over changes of leader.
+func TestChains(t *testing.T) {
+	waitScenes(t, func(m *scene, first, after []string) {
+		for range 4 {
+			time.Sleep(m.span(0, 12*time.Second))
+			m.endNode(m.lead(""), m.span(50*time.Millisecond, 4*time.Second))
+		}
+		m.verdict()
+		if n := m.outcomes(after); n[intake.Done] != len(after) {
+			m.t.Errorf("outcomes %v of %d", n, len(after))
+		}
+	})
+}
+
+// TestChainsCancelled: jobs before others are cancelled, some at their very end,
+// amid lost and late answers and the leader's end. What comes after each one shares
+// its outcome.
+func TestChainsCancelled(t *testing.T) {
+	waitScenes(t, func(m *scene, first, after []string) {
+		m.state.SetFate(func(_ string, writes int) standin.Fate {
+			switch {
+			case writes == 0 || m.intn(5) > 0:
+				return standin.Fate{}
+			case m.intn(2) == 0:
+				return standin.Fate{Lost: true}
+			}
+			return standin.Fate{Lost: true, After: m.span(time.Second, 8*time.Second)}
+		})
+		for i, id := range first {
+			if i%2 == 0 {
+				m.later(m.span(0, 14*time.Second), func() {
+					m.crowd.cancel(id)
+					for _, id := range after {
+						m.look(id)
+					}
+				})
+			}
+		}
+		m.later(m.span(0, 20*time.Second), func() { m.crowd.cancel(after[0]); m.look(after[1]) })
+		time.Sleep(m.span(0, 10*time.Second))
+		m.endNode(m.lead(""), m.span(50*time.Millisecond, 3*time.Second))
+		time.Sleep(30 * time.Second)
+		m.calm()
+		m.verdict()
+		m.family()
+	})
+}
+
+// family demands that every job shares the fate of what is before it.
+func (m *scene) family() {
+	m.t.Helper()
+	m.crowd.mu.Lock()
+	defer m.crowd.mu.Unlock()
+	off := 0
+	for id, k := range m.known {
+		cancelled, _ := m.offBefore(id)
+		if cancelled {
+			off++
+		}
+		if cancelled && k.state != intake.Aborted || !cancelled && !k.called && k.state != intake.Done {
+			m.t.Errorf("%s is %s; one before it cancelled: %v", id, k.state, cancelled)
+		}
+	}
+	m.took(off > 0, "nothing was cancelled with one before it")
+}
+
+// TestChainCancelledThenOutage: a job is cancelled, and before its leader can write
+// anything the state service is out for longer than cancel_s, all nodes end, and
+// one comes back. What waits is called cancelled by every node as soon as it can be
+// asked.
+func TestChainCancelledThenOutage(t *testing.T) {
+	waitScenes(t, func(m *scene, first, after []string) {
+		lead := m.lead("")
+		if m.intn(2) == 0 {
+			m.kill(lead) // nobody leads as it is cancelled
+		}
+		for _, id := range first {
+			if st := m.crowd.cancel(id); st != intake.Aborted && st != intake.Done {
+				m.t.Errorf("%s: %q", id, st)
+			}
+		}
+		m.state.SetDown(true)
+		time.Sleep(m.span(time.Second, 5*time.Second))
+		for label := range m.nodes {
+			m.kill(label)
+		}
+		time.Sleep(m.judge.late)
+		m.start(number(lead))
+		m.state.SetDown(false)
+		m.until(20*time.Second, "an answer", func() bool { c, _ := m.poll(number(lead), after[0]); return c == http.StatusOK })
+		for _, id := range after {
+			m.until(10*time.Second, id+" answered", func() bool { c, _ := m.poll(number(lead), id); return c == http.StatusOK })
+		}
+		m.calm()
+		m.verdict()
+		m.family()
+	})
+}
+
+// TestWaitingHoldsNothing: a job that waits holds no part of its team's limit or
+// guarantee, and rents no machine.
+func TestWaitingHoldsNothing(t *testing.T) {
+	meetOnce(t, small(), 3, nil, func(m *scene) {
+		up := m.run(long("a", intake.Sweep, 2, 60))
+		m.stands(up)
+		big := long("a", intake.Gang, 10, 20)
+		big.WaitsOn = []string{up}
+		id := m.run(big)
+		other := m.run(long("a", intake.Sweep, 10, 5)) // fits only beside the first
+		m.until(40*time.Second, "the other team mate", func() bool { return m.heard(other) == intake.Done })
+		if st := m.heard(id); st != intake.Pending {
+			m.t.Errorf("the job that waits is %s", st)
+		}
+		m.until(3*time.Minute, "the job that waited", func() bool { return m.heard(id) == intake.Done })
+	})
+}
+
+// TestLongChain: a chain of hundreds, and a job with hundreds after it, are cancelled
+// by one cancellation, whatever that takes of transactions.
+func TestLongChain(t *testing.T) {
+	meetOnce(t, small(), 4, nil, func(m *scene) {
+		up := m.run(long("a", intake.Sweep, 1, 300))
+		last := up
+		submit := func(n int, needs ...string) string {
+			j := testJob(n, "b", intake.Sweep, 1)
+			j.WaitsOn = needs
+			if !m.crowd.submit(j) {
+				m.t.Fatalf("%s was not accepted", j.NameID)
+			}
+			return j.NameID
+		}
+		var all []string
+		for n := range 150 {
+			last = submit(1000+n, last)
+			all = append(all, last, submit(2000+n, up))
+		}
+		if st := m.crowd.cancel(up); st != intake.Aborted {
+			m.t.Fatalf("the first is %s", st)
+		}
+		for i := range 3 {
+			if _, st := m.poll(i, last); st != intake.Aborted {
+				m.t.Errorf("node %d says at once that the last of the chain is %q", i, st)
+			}
+		}
+		m.until(m.judge.late, "final records", func() bool { return len(m.state.Keys(intake.OpenPrefix)) == 0 })
+		for _, id := range all {
+			if _, st := m.poll(m.intn(3), id); st != intake.Aborted {
+				m.t.Errorf("%s is %s", id, st)
+			}
+		}
+	})
+}
+
+// TestWaitsOnInput: what users may name, at any node and by lists of any length.
+func TestWaitsOnInput(t *testing.T) {
+	lay := small()
+	lay.params.State.ValueKB, lay.params.State.TxnOps = 2, 4
+	meetOnce(t, lay, 5, nil, func(m *scene) {
+		up := m.run(testJob(0, "a", intake.Sweep, 1))
+		named := func(n int, list ...string) *intake.Job {
+			j := testJob(n, "a", intake.Sweep, 1)
+			j.WaitsOn = list
+			return j
+		}
+		for i, c := range []struct {
+			list []string
+			want int
+		}{{[]string{up, up}, 201}, {[]string{"j-777777"}, 422}, {[]string{"j-000502"}, 422}, {[]string{up, "x"}, 400}, {[]string{""}, 400}, {[]string{}, 201}} {
+			j := named(500+i, c.list...)
+			m.know(j)
+			m.until(5*time.Second, "an answer", func() bool {
+				code := m.crowd.submitAt(m.intn(3), j)
+				if code != 503 && code != c.want {
+					m.t.Errorf("%v got %d, want %d", c.list, code, c.want)
+				}
+				return code == c.want
+			})
+		}
+		if code := m.crowd.submitAt(1, named(500, "j-777777")); code != 200 {
+			m.t.Errorf("a repeat that names another got %d", code)
+		}
+		m.until(2*time.Minute, "done", func() bool { _, st := m.poll(0, "j-000500"); return st == intake.Done })
+		// As long a list as a body takes, each job of it accepted; some are over.
+		var list []string
+		for n := range 400 {
+			j := named(10000 + n)
+			j.ExpectS = 400
+			if n%8 != 0 {
+				j.WaitsOn = []string{fmt.Sprintf("j-%06d", 10000+n-n%8)}
+			}
+			if !m.crowd.submit(j) {
+				m.t.Fatalf("%s was not accepted", j.NameID)
+			}
+			list = append(list, j.NameID)
+		}
+		if !m.crowd.submit(named(600, list...)) {
+			m.t.Fatal("a long list is not accepted")
+		}
+		m.endNode(m.lead(""), time.Second) // it must be read whole by another, too
+		m.lead("")
+		if _, st := m.poll(2, "j-000600"); st != intake.Pending {
+			m.t.Errorf("it is %s", st)
+		}
+		m.crowd.cancel(list[len(list)-8])
+		for i := range 3 {
+			m.until(4*time.Second, "the last job cancelled", func() bool { _, st := m.poll(i, "j-000600"); return st == intake.Aborted })
+		}
+		for _, id := range list {
+			m.later(0, func() { m.crowd.cancel(id) })
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -75,6 +75,14 @@
 	// BudgetUse is the part of the allowed rate that is planned for; the
 	// rest absorbs clocks that disagree about a second.
 	BudgetUse = 0.94
+	// LimitedRun refusals for too many calls within LimitedWithin mean that the
+	// state service's rates have fallen.
+	LimitedRun    = 5
+	LimitedWithin = 4 * time.Second
+	// ValueKBLeast and TxnOpsLeast are how small values and transactions may become
+	// when the state service refuses larger ones.
+	ValueKBLeast = 1.0
+	TxnOpsLeast  = 4
 	// BudgetPoll is the pause before looking again for tokens held back for
 	// more important calls.
 	BudgetPoll = 15 * time.Millisecond
@@ -150,6 +158,10 @@
 	// FinalsAtOnce bounds the jobs that one transaction ends, as each may clash
 	// with its user's cancellation.
 	FinalsAtOnce = 4
+	// FatesAtOnce bounds the final records that are read at once for jobs that wait
+	// for others; FateRetry is the pause after one could not be.
+	FatesAtOnce = 6
+	FateRetry   = 500 * time.Millisecond
 	// AttemptBytes is what one attempt with its job takes at most in its
 	// machine's record; the value limit then bounds the attempts on a machine.
 	AttemptBytes = 176
