--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -305,6 +306,9 @@
 	}
 	delete(l.jobs, name)
 	l.wantFate(name)
+	if len(j.before) > 0 {
+		l.inherit(slices.Collect(maps.Keys(j.before))) // they are needed less
+	}
 	for a, r := range j.exits {
 		l.settle(r, a)
 	}
--- /dev/null
+++ b/internal/leader/inherit_test.go
@@ -0,0 +1,110 @@
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"thornnotch/internal/intake"
+	"thornnotch/internal/tuning"
+)
+
+// TestInheritance: whatever the graph, and in whatever order jobs come and are
+// cancelled, each job has the highest priority of all that need it, and the latest
+// start that lets the longest path to any due time be kept; reckoned by change, it
+// equals a full reckoning.
+func TestInheritance(t *testing.T) {
+	outer := t
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		l := testLeader(outer)
+		l.sure, l.watched = now, now
+		type node struct {
+			j    *job
+			need []int
+		}
+		var all []*node
+		for n := range rapid.IntRange(1, 14).Draw(t, "jobs") {
+			spec := intake.Job{NameID: fmt.Sprintf("j-%d", n), Workload: "w", Owner: "a", Shape: intake.Sweep, Pieces: 1, VCPUs: 1, RAMGB: 1, Bundle: "i",
+				Urgency: rapid.SampledFrom([]string{"idle", "standard", "urgent", "production"}).Draw(t, "urgency"), ExpectS: float64(rapid.IntRange(1, 60).Draw(t, "expect"))}
+			if rapid.Bool().Draw(t, "due") {
+				due := float64(rapid.IntRange(10, 500).Draw(t, "dueS"))
+				spec.DueS = &due
+			}
+			nd := &node{}
+			for k := range n {
+				if all[k].j.gone || rapid.IntRange(0, 3).Draw(t, "needs") > 0 {
+					continue
+				}
+				nd.need = append(nd.need, k)
+				spec.WaitsOn = append(spec.WaitsOn, all[k].j.spec.NameID)
+			}
+			raw, err := json.Marshal(intake.Record{Job: spec, AtMS: now.Add(-time.Duration(n) * time.Second).UnixMilli()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.addJob(intake.OpenPrefix+spec.NameID, raw, uint64(100+n), now)
+			nd.j = l.jobs[spec.NameID]
+			all = append(all, nd)
+			if rapid.IntRange(0, 5).Draw(t, "cancel") == 0 {
+				if last := all[rapid.IntRange(0, n).Draw(t, "which")]; !last.j.gone {
+					l.bury(last.j, now)
+				}
+			}
+		}
+		// The full reckoning, from the last to the first: needs go backwards only.
+		for i := len(all) - 1; i >= 0; i-- {
+			a := all[i]
+			if a.j.gone {
+				continue
+			}
+			prio, start := intake.Priority(a.j.spec.Urgency), time.Time{}
+			for _, b := range all[i+1:] {
+				if b.j.gone {
+					continue
+				}
+				for _, k := range b.need {
+					if k != i {
+						continue
+					}
+					prio = max(prio, b.j.view.Priority)
+					if at := l.latest(b.j); !at.IsZero() {
+						if at = at.Add(-time.Duration(a.j.spec.ExpectS)*time.Second - tuning.ChainStep); start.IsZero() || at.Before(start) {
+							start = at
+						}
+					}
+				}
+			}
+			if a.j.view.Priority != prio || !a.j.needed.start.Equal(start) {
+				t.Fatalf("job %d: priority %d and start %v, want %d and %v", i, a.j.view.Priority, a.j.needed.start, prio, start)
+			}
+		}
+	})
+}
+
+// TestExpectationsAreCorrected: owners' estimates are often wrong; what the class
+// showed lately corrects them, within bounds.
+func TestExpectationsAreCorrected(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	j := addJob(t, l, sweep("j-1", 1), now)
+	j.spec.ExpectS = 10
+	if l.expects(j) != 10*time.Second {
+		t.Errorf("at first %v", l.expects(j))
+	}
+	for range 100 {
+		l.keeps(j, 15*time.Second)
+	}
+	if d := l.expects(j) - 15*time.Second; d < -100*time.Millisecond || d > 100*time.Millisecond {
+		t.Errorf("corrected to %v", l.expects(j))
+	}
+	for range 100 {
+		l.keeps(j, 900*time.Second)
+	}
+	if l.expects(j) > 31*time.Second {
+		t.Errorf("without bounds: %v", l.expects(j))
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -69,6 +69,8 @@
 	// set while not even their names are.
 	before map[string]bool
 	asks   bool
+	// needed is what the jobs that need this one ask for.
+	needed demand
 	// accepted is when it was submitted; its view counts from when it could start.
 	accepted time.Time
 	closing  bool // all tasks are done, the final record is being written
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -133,6 +133,8 @@
 	largest map[string]*largest // by class
 	// waits is what the jobs that wait for others wait for.
 	waits waits
+	// kept is, by class, how long tasks ran lately against what was expected.
+	kept map[string]float64
 	// arrivals counts the jobs of each class, older ones for less.
 	arrivals map[string]float64
 	// rates are the tasks of each class placed a second, of late.
@@ -152,6 +154,7 @@
 		finished:  make(map[string]bool),
 		ghosts:    make(map[string]*ghost),
 		arrivals:  make(map[string]float64),
+		kept:      make(map[string]float64),
 		rates:     make(rates),
 		largest:   make(map[string]*largest),
 		pipelines: make(map[placement.Pipeline][]*job),
--- a/internal/leader/pace.go
+++ b/internal/leader/pace.go
@@ -124,4 +124,5 @@
 		r.slowMarks = append(r.slowMarks, now)
 	}
 	j.pace.add(ran)
+	l.keeps(j, ran)
 }
--- a/internal/leader/waits.go
+++ b/internal/leader/waits.go
@@ -75,6 +75,7 @@
 			l.waits.wanted[name] = true // not open: it must be final
 		}
 	}
+	l.inherit(names)
 }
 
 // wantFate has a job's final record read if others wait for it.
@@ -190,11 +191,9 @@
 // mayStart is called when all jobs before this one are done. Its times count from
 // when the last was, by its record; its due time from its submission.
 func (l *Leader) mayStart(j *job, now time.Time) {
-	j.view.Targets = l.targets(j.spec, j.view.Submitted.Sub(j.accepted))
+	l.aim(j)
 	j.servedAt = now
-	j.stale = true
 	l.comes(j, now)
-	l.dirty = true
 	l.d.Log.Debug("nothing is left to wait for", "id", j.spec.NameID, "waited_s", now.Sub(j.accepted).Seconds())
 }
 
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -48,7 +48,7 @@
 			prepare(s)
 		}
 		users, home := context.WithCancel(ctx)
-		m := &scene{site: s, crowd: newCrowd(s, users, rand.New(rand.NewPCG(seed, 16))), t: t}
+		m := &scene{site: s, crowd: newCrowd(s, users, rand.New(rand.NewPCG(seed, 16))), t: t, last: s.names}
 		defer s.wait.Wait()
 		defer cancel()
 		defer s.state.Close()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -78,6 +78,9 @@
 	j.begun++
 	j.overdue(t, rig, "began")
 	for _, name := range job.WaitsOn {
+		if j.jobs == nil {
+			break
+		}
 		before, _ := j.jobs(name)
 		for i := range before.Pieces {
 			if j.done[fleet.TaskID{Job: name, Index: i}] == 0 {
@@ -165,6 +168,7 @@
 	keep    int // how many reports each machine keeps, to send again
 	runs    func(*intake.Job, int) time.Duration
 	away    map[string]bool // addresses that no node reaches
+	names   int             // the number of the last job that was there before
 	mu      sync.Mutex
 	workers map[string]*standin.Worker
 	places  map[string]place
--- /dev/null
+++ b/internal/node/upgrade_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"thornnotch/internal/intake"
+)
+
+// During an upgrade old and new versions serve side by side, each on the other's
+// records. testdata/production.json is what the version in production had written
+// to the state service amid its work: jobs done, cancelled and open, the log's head
+// and entries, the catalog. What is shown here is that records are read in both
+// directions; leaders that alternate are played by the bench's upgrade days.
+
+type stored struct {
+	K string          `json:"k"`
+	V json.RawMessage `json:"v"`
+}
+
+func production(t *testing.T) (rows []stored) {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/production.json")
+	if err == nil {
+		err = json.Unmarshal(raw, &rows)
+	}
+	if err != nil || len(rows) < 10 {
+		t.Fatalf("%d rows, %v", len(rows), err)
+	}
+	return rows
+}
+
+// TestProductionsRecordsAreTakenOver: a site of the new version goes on with them:
+// what was over stays so, what was open runs to its end, and new jobs may wait for
+// either.
+func TestProductionsRecordsAreTakenOver(t *testing.T) {
+	rows := production(t)
+	open := map[string]bool{}
+	meetOnce(t, small(), 11, func(s *site) {
+		s.names = 100
+		for _, r := range rows {
+			s.state.Put(r.K, r.V)
+			if id, ok := strings.CutPrefix(r.K, intake.OpenPrefix); ok {
+				var rec intake.Record
+				if err := json.Unmarshal(r.V, &rec); err != nil {
+					t.Fatal(err)
+				}
+				s.jobs.Store(id, &rec.Job)
+				open[id] = true
+			}
+		}
+	}, func(m *scene) {
+		var waits []string
+		for _, r := range rows {
+			id, ok := strings.CutPrefix(r.K, intake.FinalPrefix)
+			if !ok {
+				continue
+			}
+			var f intake.Final
+			if err := json.Unmarshal(r.V, &f); err != nil {
+				t.Fatal(err)
+			}
+			for i := range 3 {
+				m.until(5*time.Second, "an answer", func() bool { return m.status(i, id) == f.Status })
+			}
+			if f.Status == intake.Done {
+				waits = append(waits, id)
+			}
+		}
+		for id := range open {
+			waits = append(waits, id)
+		}
+		m.judge.mu.Lock()
+		m.judge.jobs = nil // what ran in production was not seen here
+		m.judge.mu.Unlock()
+		after := testJob(900, "a", intake.Sweep, 2)
+		after.WaitsOn = waits
+		if !m.crowd.submit(after) {
+			t.Fatal("not accepted")
+		}
+		for id := range open {
+			m.until(3*time.Minute, id+" done", func() bool { return m.status(0, id) == intake.Done })
+		}
+		m.until(time.Minute, "what waited", func() bool { return m.status(1, after.NameID) == intake.Done })
+	})
+	if len(open) == 0 {
+		t.Error("nothing was open in production")
+	}
+}
+
+// TestProductionReadsOurRecords: the records of jobs that wait for nothing hold
+// nothing that production's would not, and what is new beside it is in fields that
+// it passes over: its own types, copied here, read the same.
+func TestProductionReadsOurRecords(t *testing.T) {
+	type productionJob struct {
+		NameID       string   `json:"nameId"`
+		Workload     string   `json:"workload"`
+		Owner        string   `json:"owner"`
+		Shape        string   `json:"shape"`
+		Urgency      string   `json:"urgency"`
+		Pieces       int      `json:"pieces"`
+		VCPUs        float64  `json:"vcpus"`
+		Accelerators float64  `json:"accelerators"`
+		RAMGB        float64  `json:"ramGb"`
+		Bundle       string   `json:"bundle"`
+		ImageGB      float64  `json:"imageGb"`
+		RigTypes     []string `json:"rigTypes,omitempty"`
+		Hall         string   `json:"hall,omitempty"`
+		SamePlace    bool     `json:"samePlace,omitempty"`
+		Apart        bool     `json:"apart,omitempty"`
+		Loaners      bool     `json:"loaners,omitempty"`
+		ExpectS      float64  `json:"expectS"`
+		SnapshotS    float64  `json:"snapshotS"`
+		StashS       float64  `json:"stashS"`
+		DueS         *float64 `json:"dueS,omitempty"`
+	}
+	type productionRecord struct {
+		productionJob
+		AtMS int64 `json:"atMs"`
+	}
+	type productionFinal struct {
+		Status string `json:"status"`
+		Pieces int    `json:"pieces"`
+	}
+	meetOnce(t, small(), 12, nil, func(m *scene) {
+		id := m.run(long("a", intake.Sweep, 3, 40))
+		var ours intake.Record
+		var theirs productionRecord
+		raw := m.state.Value(intake.OpenPrefix + id)
+		for _, into := range []any{&ours, &theirs} {
+			d := json.NewDecoder(bytes.NewReader(raw))
+			d.DisallowUnknownFields()
+			if err := d.Decode(into); err != nil {
+				t.Errorf("%s: %v", raw, err)
+			}
+		}
+		if theirs.NameID != ours.NameID || theirs.Pieces != ours.Pieces || theirs.AtMS != ours.AtMS || theirs.ExpectS != ours.ExpectS {
+			t.Errorf("read as %+v", theirs)
+		}
+		m.until(2*time.Minute, "done", func() bool { return m.heard(id) == intake.Done })
+		var f productionFinal
+		if err := json.Unmarshal(m.state.Value(intake.FinalPrefix+id), &f); err != nil || f.Status != intake.Done || f.Pieces != 3 {
+			t.Errorf("%+v %v", f, err)
+		}
+	})
+}
--- a/internal/node/waits_test.go
+++ b/internal/node/waits_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
 	"thornnotch/internal/intake"
 	"thornnotch/internal/standin"
 )
@@ -83,6 +86,14 @@
 			}
 			return standin.Fate{Lost: true, After: m.span(time.Second, 8*time.Second)}
 		})
+		m.judge.mu.Lock()
+		m.judge.ended = func(id fleet.TaskID) {
+			// Its tasks may all be done, and its end not be written yet.
+			if slices.Contains(first, id.Job) {
+				m.later(m.span(0, 700*time.Millisecond), func() { m.cancelAt(m.intn(3), id.Job) })
+			}
+		}
+		m.judge.mu.Unlock()
 		for i, id := range first {
 			if i%2 == 0 {
 				m.later(m.span(0, 14*time.Second), func() {
@@ -268,3 +279,51 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// TestLimitsFall: the state service lowers its limits without notice, to what the
+// settings announce, while jobs come and end and a leader does. No request is too
+// large, the rate is found from the refusals, and all goes on.
+func TestLimitsFall(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			lay := small()
+			kb, ops, rate := 2.0, 4, 20.0
+			lay.params.State.Next = &config.StateNext{ValueKB: &kb, TxnOps: &ops, WriteRPS: &rate}
+			lay.params.State.ValueKB, lay.params.State.TxnOps = kb, ops // as the settings are read
+			meetOnce(t, lay, seed, nil, func(m *scene) {
+				m.chains(3)
+				m.state.SetLimits(standin.StateLimits{ValueBytes: 2048, Ops: 4, Writes: rate})
+				for n := range 60 {
+					j := testJob(0, []string{"a", "b"}[n%2], intake.Sweep, 1)
+					j.ExpectS = 1
+					m.run(j)
+					if n == 30 {
+						m.endNode(m.lead(""), m.span(100*time.Millisecond, 3*time.Second))
+					}
+					time.Sleep(m.span(0, 300*time.Millisecond))
+				}
+				time.Sleep(10 * time.Second)
+				c := m.state.Counts()
+				if c.TooLarge > 0 {
+					m.t.Errorf("%d requests were too large", c.TooLarge)
+				}
+			})
+		})
+	}
+}
+
+// TestSmallerThanAnnounced: the limits on sizes fall to less than anybody announced,
+// amid lost answers. The leader writes smaller transactions and goes on.
+func TestSmallerThanAnnounced(t *testing.T) {
+	meetOnce(t, small(), 7, nil, func(m *scene) {
+		m.chains(2)
+		m.state.SetFate(func(_ string, writes int) standin.Fate { return standin.Fate{Lost: writes > 2 && m.intn(4) == 0} })
+		m.state.SetLimits(standin.StateLimits{ValueBytes: 4096, Ops: 4})
+		for n := range 10 {
+			m.run(testJob(0, []string{"a", "b"}[n%2], intake.Sweep, 6))
+		}
+		time.Sleep(40 * time.Second)
+		m.took(m.state.Counts().TooLarge > 0, "nothing was too large")
+		m.state.SetFate(nil)
+	})
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -41,6 +41,9 @@
 	refused map[string]bool
 	fate    func(caller string, writes int) Fate
 	counts  StateCounts
+	limits  StateLimits
+	tokens  float64
+	filled  time.Time
 }
 
 // Fate is what becomes of a transaction that would be answered in time.
@@ -55,7 +58,47 @@
 
 // StateCounts tells what the service has done amiss, so that a test can say
 // whether the trouble that it wants took place.
-type StateCounts struct{ Refused, Lost, LateDone, LateFailed int }
+type StateCounts struct{ Refused, Lost, LateDone, LateFailed, TooLarge, TooMany int }
+
+// StateLimits are what the service takes; 0: anything.
+type StateLimits struct {
+	ValueBytes, Ops int
+	Writes          float64 // changes a second, with a burst of one second's worth
+}
+
+// SetLimits has the service refuse larger requests with 400, and changes beyond the
+// rate with 429. What is stored stays readable.
+func (s *State) SetLimits(l StateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits, s.tokens, s.filled = l, l.Writes, time.Now()
+}
+
+// limited tells what a transaction is refused with for its size or the rate; 0 if
+// it is not.
+func (s *State) limited(in transaction) int {
+	if s.limits.Ops > 0 && (len(in.Writes) > s.limits.Ops || len(in.When) > 4*s.limits.Ops) {
+		s.counts.TooLarge++
+		return http.StatusBadRequest
+	}
+	for _, p := range in.Writes {
+		if s.limits.ValueBytes > 0 && len(p.V) > s.limits.ValueBytes {
+			s.counts.TooLarge++
+			return http.StatusBadRequest
+		}
+	}
+	if s.limits.Writes > 0 {
+		now := time.Now()
+		s.tokens = min(s.limits.Writes, s.tokens+now.Sub(s.filled).Seconds()*s.limits.Writes)
+		s.filled = now
+		if s.tokens < float64(len(in.Writes)) {
+			s.counts.TooMany++
+			return http.StatusTooManyRequests
+		}
+		s.tokens -= float64(len(in.Writes))
+	}
+	return 0
+}
 
 type tenure struct {
 	ttl   time.Duration
@@ -110,6 +153,21 @@
 
 func (s *State) failing(host string) bool { return s.down || s.refused[host] }
 
+// Put stores a value, as if it had been written before.
+func (s *State) Put(key string, v json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.items[key] = item{V: v, Stamp: s.epoch}
+}
+
+// Value is what is stored under a key; nil if nothing is.
+func (s *State) Value(key string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].V
+}
+
 // Keys lists all keys below a prefix.
 func (s *State) Keys(prefix string) (out []string) {
 	s.mu.Lock()
@@ -278,6 +336,10 @@
 		reply(w, http.StatusBadRequest, fields{"error": "malformed"})
 		return
 	}
+	if status := s.limited(in); status != 0 {
+		reply(w, status, fields{"error": "limit"})
+		return
+	}
 	var fate Fate
 	if s.fate != nil {
 		fate = s.fate(r.RemoteAddr, len(in.Writes))
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -158,6 +158,13 @@
 	// FinalsAtOnce bounds the jobs that one transaction ends, as each may clash
 	// with its user's cancellation.
 	FinalsAtOnce = 4
+	// ExpectMost bounds by how many times run times are taken to differ from what
+	// owners expect, either way; ExpectWeight is what the newest one counts.
+	ExpectMost   = 3.0
+	ExpectWeight = 0.1
+	// ChainStep is what lies between the end of a job and the start of the next one
+	// of a chain beside run times: a report, two records and an order's way.
+	ChainStep = 3 * time.Second
 	// FatesAtOnce bounds the final records that are read at once for jobs that wait
 	// for others; FateRetry is the pause after one could not be.
 	FatesAtOnce = 6
