--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -38,7 +38,8 @@
 	late   time.Duration
 	begun  int
 	// jobs finds what was submitted, for those that wait for others.
-	jobs func(string) (*intake.Job, bool)
+	jobs   func(string) (*intake.Job, bool)
+	record func(key string) json.RawMessage
 	// ended, if set, is told of each task that is done.
 	ended func(fleet.TaskID)
 }
@@ -81,6 +82,11 @@
 		if j.jobs == nil {
 			break
 		}
+		// Its end must be written: until then its user's cancellation may come first.
+		var f intake.Final
+		if _ = json.Unmarshal(j.record(intake.FinalPrefix+name), &f); f.Status != intake.Done {
+			j.fail("too_early: %v began before the end of %s was written (%q)", t, name, f.Status)
+		}
 		before, _ := j.jobs(name)
 		for i := range before.Pieces {
 			if j.done[fleet.TaskID{Job: name, Index: i}] == 0 {
@@ -206,7 +212,7 @@
 			limits: map[string]float64{}, done: map[fleet.TaskID]int{}, owner: map[string]*intake.Job{}, in: map[fleet.TaskID]string{},
 			called: map[string]time.Time{}, late: config.Seconds(lay.params.Workers.CancelS)}}
 	s.placed = placements{slog.NewTextHandler(io.Discard, nil), new(sync.Mutex), make(map[string]int), make(map[string]bool)}
-	s.judge.jobs = s.Job
+	s.judge.jobs, s.judge.record = s.Job, s.state.Value
 	for _, team := range lay.params.Teams {
 		s.judge.limits[team.Name] = team.GPUsMax
 	}
--- a/internal/node/waits_test.go
+++ b/internal/node/waits_test.go
@@ -79,7 +79,11 @@
 	waitScenes(t, func(m *scene, first, after []string) {
 		m.state.SetFate(func(_ string, writes int) standin.Fate {
 			switch {
-			case writes == 0 || m.intn(5) > 0:
+			case writes == 0:
+				return standin.Fate{}
+			case writes > 2 && m.intn(2) == 0: // the log: a cancellation may overtake it
+				return standin.Fate{Slow: m.span(300*time.Millisecond, 1300*time.Millisecond)}
+			case m.intn(8) > 0:
 				return standin.Fate{}
 			case m.intn(2) == 0:
 				return standin.Fate{Lost: true}
