--- a/internal/intake/mirror.go
+++ b/internal/intake/mirror.go
@@ -132,7 +132,7 @@
 // Mirror keeps the mirror near the truth until ctx ends.
 func (s *Server) Mirror(ctx context.Context) error {
 	for ctx.Err() == nil {
-		rows, epoch, err := s.store.List(ctx, ledger.Hold, OpenPrefix)
+		rows, epoch, err := s.store.List(ctx, ledger.Poll, OpenPrefix)
 		if err != nil {
 			sleep(ctx, tuning.MirrorEvery)
 			continue
--- a/internal/intake/poll.go
+++ b/internal/intake/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -67,6 +68,20 @@
 			for len(batch) < s.conds/2 && len(s.asks) > 0 {
 				batch = append(batch, <-s.asks)
 			}
+			var waiting []ask
+			batch = slices.DeleteFunc(batch, func(a ask) bool {
+				if !s.stillWaits(a.id) {
+					return false
+				}
+				waiting = append(waiting, a)
+				return true
+			})
+			if len(waiting) > 0 {
+				group.Go(func() error {
+					s.settleWaiting(ctx, waiting)
+					return nil
+				})
+			}
 			s.log.Debug("polls", "n", len(batch), "wait_ms", time.Since(start).Milliseconds())
 			for _, a := range s.prove(ctx, batch) {
 				group.Go(func() error {
@@ -83,15 +98,6 @@
 // prove settles what it can of a batch and returns the polls that need reads
 // of their own: those whose keys are not as this node knows them.
 func (s *Server) prove(ctx context.Context, batch []ask) (rest []ask) {
-	kept := batch[:0:0]
-	for _, a := range batch {
-		if s.stillWaits(a.id) {
-			rest = append(rest, a) // its own record alone proves nothing
-		} else {
-			kept = append(kept, a)
-		}
-	}
-	batch = kept
 	for len(batch) > 0 {
 		var when []ledger.Cond
 		seen := make(map[string]uint64, len(batch))
--- a/internal/intake/waits.go
+++ b/internal/intake/waits.go
@@ -150,6 +150,12 @@
 	if err := s.sync(ctx); err != nil {
 		return false, err
 	}
+	return s.cancelledBefore(ctx, id, needs, class)
+}
+
+// cancelledBefore tells the same for a mirror that has been brought up to a moment
+// after the question, and notes a job that nothing is before any more.
+func (s *Server) cancelledBefore(ctx context.Context, id string, needs Needs, class ledger.Class) (cancelled bool, err error) {
 	list, err := s.whole(ctx, id, needs, class)
 	if err != nil {
 		return false, err
@@ -171,6 +177,39 @@
 	return false, nil
 }
 
+// settleWaiting settles polls for jobs that wait for others, by one question for all:
+// each of the open jobs was so at a moment after the polls had come.
+func (s *Server) settleWaiting(ctx context.Context, batch []ask) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.PollPatience)
+	defer cancel()
+	err := s.sync(ctx)
+	open := make(map[string]uint64)
+	var tell []ask
+	for _, a := range batch {
+		if err != nil {
+			a.answer <- answer{err: fmt.Errorf("poll: %w", err)}
+			continue
+		}
+		o := s.mirror.get(a.id)
+		if o.stamp == 0 {
+			st, found, err := s.lookFinal(ctx, a.id, ledger.Poll)
+			a.answer <- answer{st, found, err}
+			continue
+		}
+		cancelled, err := s.cancelledBefore(ctx, a.id, o.needs, ledger.Poll)
+		switch {
+		case err != nil:
+			a.answer <- answer{err: err}
+		case cancelled:
+			a.answer <- answer{finalState(a.id, Final{Status: Aborted}), true, nil}
+		default:
+			open[a.id] = o.stamp
+			tell = append(tell, a)
+		}
+	}
+	s.tell(ctx, tell, open)
+}
+
 // stillWaits tells whether an open job, as known here, may yet be cancelled with one
 // before it, so that its own record proves nothing of its state.
 func (s *Server) stillWaits(id string) bool { return !s.mirror.get(id).needs.None() }
