Holds follow the edges that users name with waitsOn

Upstream is the job that is named, downstream the one that waits. Several of either, other teams and sizes are ordinary. What is held for a job that may not start yet gives way in its team's limit to work that may. Each guard taken out makes a test fail.

--- /dev/null
+++ b/internal/leader/edges.go
@@ -0,0 +1,93 @@
+package leader
+
+import (
+	"cmp"
+	"slices"
+
+	"thornnotch/internal/placement"
+	"thornnotch/internal/reserve"
+	"thornnotch/internal/tuning"
+)
+
+// Where users name edges with waitsOn, these are the pipelines of the hold rule:
+// upstream is the job that is named, downstream the one that waits for it. Their
+// jobs may be of several teams and sizes, and a job may have several of either. A
+// hold belongs to the job that it is for, and to its team; the tasks of all jobs
+// before that one may use it too, as they are the pipeline's own.
+
+// downstreamEdges are the jobs that name a job and still wait, by priority, then by
+// how soon they must start, then in the order that they came.
+func (l *Leader) downstreamEdges(up *job) (out []reserve.Downstream) {
+	var jobs []*job
+	for _, j := range l.waits.after[up.spec.NameID] {
+		if len(jobs) == tuning.DownstreamsSeen {
+			break
+		}
+		if !j.gone && !j.placed {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b *job) int {
+		if c := cmp.Compare(b.view.Priority, a.view.Priority); c != 0 {
+			return c
+		}
+		x, y := l.latest(a), l.latest(b)
+		if x.IsZero() != y.IsZero() {
+			if y.IsZero() {
+				return -1
+			}
+			return 1
+		}
+		if c := x.Compare(y); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.stamp, b.stamp)
+	})
+	for _, j := range jobs {
+		out = append(out, heldFor(j, j.view.Edges()))
+	}
+	return out
+}
+
+// showEdges shows placement which held rooms are for jobs that may not start yet, and
+// which jobs such a job waits for.
+func (l *Leader) showEdges(w *placement.World) {
+	for _, j := range l.waits.fed {
+		j.view.Feeds = nil
+	}
+	l.waits.fed = l.waits.fed[:0]
+	walked := make(map[string]bool)
+	for _, r := range w.Rigs {
+		for i, h := range r.Held {
+			name := h.Pipeline.Downstream
+			if name == "" {
+				continue
+			}
+			down := l.jobs[name]
+			r.Held[i].Barred = down != nil && down.waiting()
+			if down != nil && !walked[name] {
+				walked[name] = true
+				l.feeds(down)
+			}
+		}
+	}
+}
+
+// feeds marks all open jobs before one that has room held for it.
+func (l *Leader) feeds(down *job) {
+	name := down.spec.NameID
+	for queue := []*job{down}; len(queue) > 0; queue = queue[1:] {
+		for before := range queue[0].before {
+			j := l.jobs[before]
+			if j == nil || j.view.Feeds[name] {
+				continue
+			}
+			if j.view.Feeds == nil {
+				j.view.Feeds = make(map[string]bool)
+				l.waits.fed = append(l.waits.fed, j)
+			}
+			j.view.Feeds[name] = true
+			queue = append(queue, j)
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/edges_test.go
@@ -0,0 +1,217 @@
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/leader/wal"
+	"thornnotch/internal/placement"
+	"thornnotch/internal/reserve"
+)
+
+// edgeScene is a machine for four tasks with n of a job, which another one of another
+// team waits for, while a third, of the first one's owner and workload and as urgent,
+// waits for room.
+func edgeScene(t *testing.T, n int, now time.Time) (l *Leader, r *rig, down, other *job) {
+	t.Helper()
+	l = testLeader(t)
+	l.sure = now
+	l.teams = append(l.teams, config.Team{Name: "b", GPUs: 0, GPUsMax: 12})
+	l.teams[0].GPUs = 0 // nobody has a guarantee: it would go before any hold
+	r = addRig(l, "m-1", "east", now)
+	r.m.Endpoint = ""
+	addJob(t, l, sweep("j-1", n), now)
+	l.pass(now)
+	settle(l, 100)
+	r.m.Orders(true, now)
+	l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	spec := sweep("j-2", n)
+	spec.Owner, spec.WaitsOn = "b", []string{"j-1"}
+	down = addJob(t, l, spec, now)
+	other = addJob(t, l, sweep("j-3", n), now)
+	return l, r, down, other
+}
+
+// endAll has all tasks on the machine reported done.
+func endAll(l *Leader, r *rig, now time.Time) {
+	l.observe(r, report(l, r, fleet.Exited, fleet.CauseDone), false, now)
+}
+
+// TestEdgesAreThePipeline: where users name edges, what a finisher leaves is held for
+// the job that waits for it, whosever that is; others as urgent skip it until that job
+// may start, which then takes it up.
+func TestEdgesAreThePipeline(t *testing.T) {
+	now := time.Now()
+	l, r, down, other := edgeScene(t, 4, now)
+	now = now.Add(10 * time.Second)
+	endAll(l, r, now)
+	holds := l.book.On("m-1")
+	if len(holds) != 4 {
+		t.Fatalf("%d holds, want 4", len(holds))
+	}
+	for _, h := range holds {
+		if h.Downstream != "j-2" || h.Pipeline != (placement.Pipeline{Owner: "b", Workload: "x", Downstream: "j-2"}) {
+			t.Errorf("held: %+v", h)
+		}
+	}
+	l.pass(now)
+	if len(other.seats) != 0 || len(down.seats) != 0 {
+		t.Fatalf("before the end is recorded %d tasks of the other and %d of the one that waits are placed", len(other.seats), len(down.seats))
+	}
+	settle(l, 200)
+	l.pass(now)
+	if len(down.seats) != 4 || len(other.seats) != 0 || len(l.book.All()) != 0 {
+		t.Errorf("%d tasks of the one that waited, %d of the other, %d holds left", len(down.seats), len(other.seats), len(l.book.All()))
+	}
+}
+
+// TestEdgeHoldsAreTakenUp: also where there is room beside them; they are shown as
+// barred until the job that they are for may start.
+func TestEdgeHoldsAreTakenUp(t *testing.T) {
+	now := time.Now()
+	l, r, down, _ := edgeScene(t, 1, now)
+	endAll(l, r, now.Add(10*time.Second))
+	shown := func() (out []bool) {
+		w, _ := l.world(now)
+		for _, h := range w.Rigs[0].Held {
+			out = append(out, h.Barred)
+		}
+		return out
+	}
+	if got := shown(); len(got) != 1 || !got[0] {
+		t.Errorf("shown while the job waits: barred %v", got)
+	}
+	settle(l, 200)
+	if got := shown(); len(got) != 1 || got[0] {
+		t.Errorf("shown once it may start: barred %v", got)
+	}
+	l.pass(now)
+	if len(down.seats) != 1 || len(l.book.All()) != 0 {
+		t.Errorf("%d tasks placed, %d holds left", len(down.seats), len(l.book.All()))
+	}
+}
+
+// TestWaitedIsNobodysNext: a job that waited for others has its own pipeline, also once
+// it may start: nothing is held for it as its owner's next.
+func TestWaitedIsNobodysNext(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	up := addJob(t, l, sweep("j-1", 1), now)
+	addJob(t, l, sweep("j-2", 1), now)
+	spec := sweep("j-3", 1)
+	spec.WaitsOn = []string{"j-2"}
+	waited := addJob(t, l, spec, now)
+	next := addJob(t, l, sweep("j-4", 1), now)
+	l.bury(l.jobs["j-2"], now)
+	l.fate("j-2", intake.Final{Status: intake.Done}, now)
+	if waited.waiting() {
+		t.Fatal("it may not start")
+	}
+	if got := l.downstreams(up); len(got) != 1 || got[0].Job != next.spec.NameID {
+		t.Errorf("held for %+v", got)
+	}
+}
+
+// TestEdgeHoldsEnd: with the cancellation of the job that they are for, and, as any
+// hold, at the lapse that the upstream's first finisher set.
+func TestEdgeHoldsEnd(t *testing.T) {
+	start := time.Now()
+	for _, cancelled := range []bool{true, false} {
+		l, r, _, other := edgeScene(t, 4, start)
+		now := start.Add(10 * time.Second)
+		endAll(l, r, now)
+		if cancelled {
+			l.jobGone("j-2", now)
+		} else {
+			o := l.d.Operator.Holds
+			lapse := start.Add(reserve.Options{Alpha: o.Alpha, P: o.P}.Lapse(10*time.Second, 4))
+			l.book.Lapse(lapse.Add(-time.Second), l.stillWaits)
+			if len(l.book.All()) != 4 {
+				t.Errorf("lapsed early")
+			}
+			now = lapse.Add(time.Second)
+		}
+		for _, name := range l.book.Lapse(now, l.stillWaits) {
+			l.lazy(l.rigs[name], now)
+		}
+		r.m.Heard, r.m.Answered = now, now
+		l.sure = now
+		l.pass(now)
+		if len(l.book.All()) != 0 || len(other.seats) != 4 {
+			t.Errorf("cancelled %v: %d holds stand, %d tasks of the other are placed", cancelled, len(l.book.All()), len(other.seats))
+		}
+	}
+}
+
+// TestEdgeHoldsOutliveTheLeader: what the next leader reads of a hold along an edge is
+// still for the job that waits, not for its owner's next.
+func TestEdgeHoldsOutliveTheLeader(t *testing.T) {
+	now := time.Now()
+	l, r, _, _ := edgeScene(t, 4, now)
+	endAll(l, r, now.Add(10*time.Second))
+	raw, err := json.Marshal(l.record(r))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rec wal.Rig
+	if err := json.Unmarshal(raw, &rec); err != nil {
+		t.Fatal(err)
+	}
+	next := testLeader(t)
+	if err := next.restore("m-1", &rec, now); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := fmt.Sprint(next.book.On("m-1")), 4; len(next.book.On("m-1")) != want {
+		t.Fatalf("%s", got)
+	}
+	for i, h := range next.book.On("m-1") {
+		was := l.book.On("m-1")[i]
+		if h.Pipeline != was.Pipeline || h.Downstream != was.Downstream || h.Priority != was.Priority || h.Room != was.Room {
+			t.Errorf("read as %+v, was %+v", h, was)
+		}
+	}
+}
+
+// TestSeveralDownstreams: of the jobs that wait for one, the one of highest priority
+// is held for first, an inherited one included, then the one that must start soonest;
+// what waits for room before a held-for job may use its holds.
+func TestSeveralDownstreams(t *testing.T) {
+	now := time.Now()
+	l, _, first, _ := edgeScene(t, 4, now)
+	up := l.jobs["j-1"]
+	named := func(id, urgency string, due float64, waits ...string) *job {
+		spec := sweep(id, 2)
+		spec.Urgency, spec.WaitsOn = urgency, waits
+		if due > 0 {
+			spec.DueS = &due
+		}
+		return addJob(t, l, spec, now)
+	}
+	named("j-4", "standard", 500, "j-1")
+	side := addJob(t, l, sweep("j-5", 1), now)
+	named("j-6", "standard", 90, "j-1", "j-5")
+	named("j-7", "idle", 0, "j-1")
+	last := named("j-8", "urgent", 0, "j-7")
+	want := []string{"j-7", "j-6", "j-4", "j-2"}
+	var got []string
+	for _, d := range l.downstreams(up) {
+		got = append(got, d.Job)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("held for %v, want %v", got, want)
+	}
+	endAll(l, l.rigs["m-1"], now.Add(5*time.Second)) // two for j-7, two for j-6
+	if _, _ = l.world(now); !side.view.Owns(l.jobs["j-6"].view.Edges()) || side.view.Owns(l.jobs["j-4"].view.Edges()) || last.view.Owns(l.jobs["j-7"].view.Edges()) {
+		t.Errorf("who may use the holds: one before %v, another %v, one after %v", side.view.Feeds, first.view.Feeds, last.view.Feeds)
+	}
+	// A job that waited and has nothing after it ends its pipeline: nothing is held for
+	// its owner's next.
+	if next := l.downstreams(last); len(next) != 0 {
+		t.Errorf("held for %v after the last of a chain", next)
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -69,6 +69,7 @@
 	// set while not even their names are.
 	before map[string]bool
 	asks   bool
+	edged  bool // it named jobs to wait for, whether or not they are done
 	// needed is what the jobs that need this one ask for.
 	needed demand
 	// accepted is when it was submitted; its view counts from when it could start.
@@ -460,7 +461,8 @@
 // reserve applies the hold rule to the room that a finished task leaves.
 func (l *Leader) reserve(r *rig, j *job, a *fleet.Attempt, now time.Time) {
 	f := reserve.Finish{
-		Pipeline: j.view.Pipeline(), Job: j.spec.NameID, Pieces: j.spec.Pieces, Started: j.started, Rig: r.m.Name, Now: now,
+		Job: j.spec.NameID, Pieces: j.spec.Pieces, Started: j.started, Rig: r.m.Name, Next: l.downstreams(j), Now: now,
+		Fits: func(d reserve.Downstream) bool { return r.open(now) && l.mayHold(r, d) },
 	}
 	if f.Started.IsZero() {
 		f.Started = a.PlannedAt
@@ -468,10 +470,6 @@
 	if !a.RanAt.IsZero() {
 		f.Ran = now.Sub(a.RanAt)
 	}
-	if next := l.downstream(j); next != nil {
-		f.Next = &reserve.Downstream{Job: next.spec.NameID, Pieces: next.spec.Pieces, Priority: next.view.Priority, Need: placement.Need(next.spec)}
-		f.Fits = r.open(now) && placement.Allowed(&next.view, l.shape(r)) && l.room(r).Fits(f.Next.Need)
-	}
 	if l.book.Finished(f) {
 		l.lazy(r, now)
 		return
@@ -484,15 +482,36 @@
 	if !r.open(now) {
 		return
 	}
-	if l.book.Freed(r.m.Name, func(name string, need placement.Room) bool {
-		j := l.jobs[name]
-		return j != nil && placement.Allowed(&j.view, l.shape(r)) && l.room(r).Fits(need)
-	}, now) {
+	if l.book.Freed(r.m.Name, func(d reserve.Downstream) bool { return l.mayHold(r, d) }, now) {
 		l.lazy(r, now)
 	}
 }
 
-// downstream is the pipeline's earliest job still waiting to start.
+// mayHold tells whether a machine can and may take a task of a job.
+func (l *Leader) mayHold(r *rig, d reserve.Downstream) bool {
+	j := l.jobs[d.Job]
+	return j != nil && placement.Allowed(&j.view, l.shape(r)) && l.room(r).Fits(d.Need)
+}
+
+// downstreams are the jobs that come after one in its pipeline and wait to start:
+// those that name it, or else the next one of its owner and workload.
+func (l *Leader) downstreams(up *job) []reserve.Downstream {
+	if up.edged || len(l.waits.after[up.spec.NameID]) > 0 {
+		return l.downstreamEdges(up)
+	}
+	next := l.downstream(up)
+	if next == nil {
+		return nil
+	}
+	return []reserve.Downstream{heldFor(next, next.view.Pipeline())}
+}
+
+func heldFor(j *job, p placement.Pipeline) reserve.Downstream {
+	return reserve.Downstream{Pipeline: p, Job: j.spec.NameID, Pieces: j.spec.Pieces, Priority: j.view.Priority, Need: placement.Need(j.spec)}
+}
+
+// downstream is the pipeline's earliest job still waiting to start. A job that waits
+// for others has a pipeline of its own.
 func (l *Leader) downstream(up *job) *job {
 	p := up.view.Pipeline()
 	// Jobs come in the order of their records, but for those that were read
@@ -504,7 +523,7 @@
 			continue
 		}
 		kept = append(kept, j)
-		if j != up && !j.placed && !j.waiting() && (best == nil || j.stamp < best.stamp) {
+		if j != up && !j.placed && !j.edged && (best == nil || j.stamp < best.stamp) {
 			best = j
 		}
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -587,6 +587,9 @@
 				if rapid.Bool().Draw(rt, "gang") {
 					spec.Shape, spec.SamePlace, spec.Pieces = intake.Gang, true, 2
 				}
+				if jobs > 1 && rapid.Bool().Draw(rt, "waits") {
+					spec.WaitsOn = []string{fmt.Sprint("j-", rapid.IntRange(1, jobs-1).Draw(rt, "for"))}
+				}
 				addJob(t, l, spec, now)
 			},
 			"pass":   func(*rapid.T) { l.pass(now) },
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -32,15 +32,19 @@
 func recordRoom(r placement.Room) wal.Room { return wal.Room{r.VCPUs, r.GPUs, r.RAM} }
 
 func holdOf(h wal.Hold, rig string) reserve.Hold {
+	p := placement.Pipeline{Owner: h.Owner, Workload: h.Workload}
+	if h.Edge {
+		p.Downstream = h.Down
+	}
 	return reserve.Hold{
-		Rig: rig, Pipeline: placement.Pipeline{Owner: h.Owner, Workload: h.Workload},
+		Rig: rig, Pipeline: p,
 		Upstream: h.Up, Downstream: h.Down, Priority: h.Priority,
 		Room: roomOf(h.Room), Expires: time.UnixMilli(h.Expires),
 	}
 }
 
 func recordHold(h reserve.Hold) wal.Hold {
-	return wal.Hold{Owner: h.Pipeline.Owner, Workload: h.Pipeline.Workload, Up: h.Upstream, Down: h.Downstream,
+	return wal.Hold{Owner: h.Pipeline.Owner, Workload: h.Pipeline.Workload, Up: h.Upstream, Down: h.Downstream, Edge: h.Pipeline.Downstream != "",
 		Priority: h.Priority, Room: recordRoom(h.Room), Expires: h.Expires.UnixMilli()}
 }
 
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -32,7 +32,7 @@
 		l.rigs[e.Rig.Name].stale = true
 	}
 	for _, h := range plan.Released {
-		if r := l.rigs[h.Rig.Name]; r != nil && l.book.Use(h.Rig.Name, h.Held.Pipeline) {
+		if r := l.rigs[h.Rig.Name]; r != nil && l.book.Use(h.Rig.Name, func(p placement.Pipeline) bool { return p == h.Held.Pipeline }) {
 			l.d.Log.Debug("hold given up", "rig", h.Rig.Name, "class", h.Held.Pipeline.Workload)
 			l.lazy(r, now)
 		}
@@ -194,6 +194,7 @@
 		}
 		w.Rigs = append(w.Rigs, r.view)
 	}
+	l.showEdges(w)
 	w.Spare = min(l.spare(now), int(float64(ordinary)*tuning.SpareMost))
 	for _, t := range l.teams {
 		w.Teams[t.Name] = &placement.Team{Name: t.Name, Used: l.use[t.Name],
@@ -400,7 +401,7 @@
 		l.rates.add(j.spec.Workload)
 		l.occupy(r, a)
 		l.noteAdd(r, a)
-		if l.book.Use(r.m.Name, j.view.Pipeline()) {
+		if l.book.Use(r.m.Name, j.view.Owns) {
 			l.d.Log.Debug("hold used", "rig", r.m.Name, "job", j.spec.NameID)
 			l.lazy(r, now)
 		}
--- a/internal/leader/waits.go
+++ b/internal/leader/waits.go
@@ -27,6 +27,8 @@
 	// unnamed are the jobs whose list of names is to be read.
 	unnamed map[*job]intake.Needs
 	retryAt time.Time
+	// fed are the jobs that were shown as feeding ones with room held for them.
+	fed []*job
 }
 
 func (w *waits) init() {
@@ -41,7 +43,7 @@
 
 // mustWait takes in what a job waits for.
 func (l *Leader) mustWait(j *job, needs intake.Needs) {
-	j.asks = true
+	j.asks, j.edged = true, true
 	if needs.Split != nil || !l.loaded {
 		// Not all names are known, or not all open jobs.
 		l.waits.unnamed[j] = needs
--- a/internal/leader/wal/record.go
+++ b/internal/leader/wal/record.go
@@ -65,6 +65,7 @@
 	Workload string `json:"k"`
 	Up       string `json:"u"`
 	Down     string `json:"d"`
+	Edge     bool   `json:"e,omitempty"` // along an edge that users named
 	Priority int    `json:"p"`
 	Room     Room   `json:"r"`
 	Expires  int64  `json:"x"` // Unix time, ms
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -24,7 +24,7 @@
 // that they take: both wait for the other for a quarter of an hour.
 func givesWay(h Held, j *Job) bool {
 	switch {
-	case h.Pipeline == j.Pipeline(), j.Overdue == LiftAll:
+	case j.Owns(h.Pipeline), j.Overdue == LiftAll:
 		return true
 	case j.Overdue == LiftEqual:
 		return h.Priority <= j.Priority
@@ -32,6 +32,11 @@
 	return h.Priority < j.Priority
 }
 
+// leavesLimit tells whether a hold gives way to the job in their team's limit. Held
+// room counts toward it, yet a job that waits for others holds no part of it: so
+// what is held for one that may not start yet gives way to whatever of its team may.
+func leavesLimit(h Held, j *Job) bool { return h.Barred || givesWay(h, j) }
+
 // promise is a part of a team's limit that a gang will need in a moment.
 type promise struct {
 	job  *Job
@@ -90,7 +95,7 @@
 	}
 	p.yieldsTo, p.yielding = j, Room{}
 	for _, h := range p.holds[j.Spec.Owner] {
-		if givesWay(h.held, j) {
+		if leavesLimit(h.held, j) {
 			p.yielding = p.yielding.Add(h.held.Room)
 		}
 	}
@@ -130,21 +135,25 @@
 	if len(p.holds) == 0 {
 		return
 	}
-	waits, usable := make(map[Pipeline]bool), make(map[Pipeline]bool)
+	waits, usable, without := make(map[Pipeline]bool), make(map[Pipeline]bool), make(map[string]Room)
 	for _, j := range p.Jobs {
-		if len(j.Waiting) == 0 || len(p.holds[j.Spec.Owner]) == 0 || usable[j.Pipeline()] {
-			continue
-		}
 		t := p.Teams[j.Spec.Owner]
-		if t == nil {
+		if len(j.Waiting) == 0 || len(p.holds[j.Spec.Owner]) == 0 || t == nil {
 			continue
 		}
-		use := t.Used
-		for _, h := range p.holds[j.Spec.Owner] {
-			use = use.Sub(h.held.Room)
+		use, known := without[j.Spec.Owner]
+		if !known {
+			use = t.Used
+			for _, h := range p.holds[j.Spec.Owner] {
+				use = use.Sub(h.held.Room)
+			}
+			without[j.Spec.Owner] = use
+		}
+		fits := j.Spec.Shape != "gang" || t.within(use.Add(Need(j.Spec).Times(len(j.Waiting))))
+		for _, pipe := range [2]Pipeline{j.Pipeline(), j.Edges()} {
+			waits[pipe] = true
+			usable[pipe] = usable[pipe] || fits
 		}
-		waits[j.Pipeline()] = true
-		usable[j.Pipeline()] = j.Spec.Shape != "gang" || t.within(use.Add(Need(j.Spec).Times(len(j.Waiting))))
 	}
 	for pipe := range waits {
 		if usable[pipe] {
@@ -164,13 +173,13 @@
 	t := p.Teams[j.Spec.Owner]
 	var list []heldOn
 	for _, h := range p.holds[j.Spec.Owner] {
-		if givesWay(h.held, j) {
+		if leavesLimit(h.held, j) {
 			list = append(list, h)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b heldOn) int {
-		if own := j.Pipeline(); (a.held.Pipeline == own) != (b.held.Pipeline == own) {
-			if a.held.Pipeline == own {
+		if own := j.Owns(a.held.Pipeline); own != j.Owns(b.held.Pipeline) {
+			if own {
 				return 1
 			}
 			return -1
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -36,7 +36,7 @@
 		sweep.Order, sweep.Spec.Accelerators, sweep.Waiting, sweep.Spec.Pieces = 2, 1, []int{0, 1, 2, 3, 4, 5, 6, 7}, 8
 		w := &World{Jobs: []*Job{gang, sweep}, Teams: map[string]*Team{"a": {Max: Room{GPUs: 8}, Used: Room{GPUs: 8}}}}
 		for i := range 4 {
-			hold := Held{sweep.Pipeline(), c.sweep, Room{1, 1, 1}}
+			hold := Held{Pipeline: sweep.Pipeline(), Priority: c.sweep, Room: Room{1, 1, 1}}
 			r := oneRig(hold, hold)
 			r.Name = fmt.Sprint("m-", i)
 			w.Rigs = append(w.Rigs, r)
@@ -270,7 +270,7 @@
 		for i := range 7 {
 			r := oneRig()
 			if i < 5 {
-				r.Held = []Held{{j.Pipeline(), 1, Need(j.Spec)}}
+				r.Held = []Held{{Pipeline: j.Pipeline(), Priority: 1, Room: Need(j.Spec)}}
 				r.Spot = true // held long ago, for another of the pipeline
 			}
 			r.Name = fmt.Sprint("m-", i)
@@ -292,12 +292,15 @@
 		name     string
 		max      float64
 		shape    string // of the second job of the pipeline
+		edges    bool   // it is not: the gang has waited for others by name
 		released int
 	}{
-		{"no room in the limit", 16, "", 2},
-		{"room for the gang", 24, "", 0},
-		{"a smaller gang", 16, "gang", 0},
-		{"a sweep", 16, "sweep", 0},
+		{"no room in the limit", 16, "", false, 2},
+		{"room for the gang", 24, "", false, 0},
+		{"a smaller gang", 16, "gang", false, 0},
+		{"a sweep", 16, "sweep", false, 0},
+		{"by edges, no room", 16, "sweep", true, 2},
+		{"by edges, room", 24, "sweep", true, 0},
 	} {
 		gang, other := sweepJob("j-1", "a", 1), sweepJob("j-2", "a", 1)
 		gang.Spec.Shape, gang.Spec.Pieces, gang.Waiting = "gang", 3, []int{0, 1, 2}
@@ -310,7 +313,11 @@
 			j.Avoid = map[string]bool{"m-0": true, "m-1": true} // nothing starts
 		}
 		for i := range 2 {
-			r := oneRig(Held{gang.Pipeline(), 1, Need(gang.Spec)})
+			hold := Held{Pipeline: gang.Pipeline(), Priority: 1, Room: Need(gang.Spec)}
+			if c.edges {
+				hold.Pipeline = gang.Edges()
+			}
+			r := oneRig(hold)
 			r.Name = fmt.Sprint("m-", i)
 			w.Rigs = append(w.Rigs, r)
 		}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -207,7 +207,7 @@
 // heldFor is the room that is kept on the machine for the job's pipeline.
 func (r *Rig) heldFor(j *Job) (sum Room, n int) {
 	for _, h := range r.Held {
-		if h.Pipeline == j.Pipeline() {
+		if j.Owns(h.Pipeline) {
 			sum = sum.Add(h.Room)
 			n++
 		}
@@ -318,7 +318,7 @@
 	r.Seats--
 	p.Teams[j.Spec.Owner].Used = p.Teams[j.Spec.Owner].Used.Add(need)
 	for _, h := range r.Held {
-		if h.Pipeline == j.Pipeline() {
+		if j.Owns(h.Pipeline) {
 			// The task takes the place of its hold, which counted already.
 			p.unhold(heldOn{r, h})
 			break
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -49,8 +49,12 @@
 			all = append(all, j)
 		}
 		if rapid.IntRange(0, 3).Draw(t, "hold") == 0 && len(r.Slots) == 0 {
-			p := Pipeline{rapid.SampledFrom(teams).Draw(t, "holder"), "x"}
-			h := Held{p, rapid.IntRange(0, 3).Draw(t, "held at"), Room{VCPUs: 1, GPUs: 1, RAM: 1}}
+			p := Pipeline{Owner: rapid.SampledFrom(teams).Draw(t, "holder"), Workload: "x"}
+			h := Held{Pipeline: p, Priority: rapid.IntRange(0, 3).Draw(t, "held at"), Room: Room{VCPUs: 1, GPUs: 1, RAM: 1}}
+			if rapid.Bool().Draw(t, "edge") {
+				h.Pipeline.Downstream = fmt.Sprint("j-", rapid.IntRange(1, 9).Draw(t, "downstream"))
+				h.Barred = rapid.Bool().Draw(t, "barred")
+			}
 			r.Held = append(r.Held, h)
 			w.Teams[p.Owner].Used = w.Teams[p.Owner].Used.Add(h.Room)
 		}
@@ -177,7 +181,7 @@
 // work skips it, higher work takes it, and it never keeps another team from
 // its guarantee.
 func TestHoldsKeepPriority(t *testing.T) {
-	hold := Held{Pipeline{"a", "x"}, 1, Room{1, 4, 1}}
+	hold := Held{Pipeline: Pipeline{Owner: "a", Workload: "x"}, Priority: 1, Room: Room{1, 4, 1}}
 	for _, c := range []struct {
 		name      string
 		job       *Job
@@ -199,6 +203,60 @@
 	}
 }
 
+// TestEdgeHoldsKeepPriority: room held along an edge that users named is for the job
+// that waits and for those before it, whosever they are; others of the same owner and
+// workload are others. It gives way as any hold does.
+func TestEdgeHoldsKeepPriority(t *testing.T) {
+	before := sweepJob("j-7", "b", 0)
+	before.Feeds = map[string]bool{"j-1": true}
+	hold := Held{Pipeline: Pipeline{"a", "x", "j-1"}, Priority: 1, Room: Room{1, 4, 1}}
+	for _, c := range []struct {
+		name      string
+		job       *Job
+		guarantee float64
+		want      int
+	}{
+		{"the job that waited", sweepJob("j-1", "a", 1), 0, 1},
+		{"one before it", before, 0, 1},
+		{"its owner's next", sweepJob("j-2", "a", 1), 0, 0},
+		{"equal", sweepJob("j-2", "b", 1), 0, 0},
+		{"lower", sweepJob("j-2", "b", 0), 0, 0},
+		{"higher", sweepJob("j-2", "b", 2), 0, 1},
+		{"guaranteed", sweepJob("j-2", "b", 0), 4, 1},
+	} {
+		w := &World{Rigs: []*Rig{oneRig(hold)}, Jobs: []*Job{c.job}, Teams: map[string]*Team{
+			"a": {Max: Room{GPUs: 8}, Used: Room{GPUs: 4}}, "b": {Guarantee: Room{GPUs: c.guarantee}, Max: Room{GPUs: 8}}}}
+		MarkGuaranteed(w.Jobs, w.Teams)
+		if got := len(Decide(w).Starts); got != c.want {
+			t.Errorf("%s: %d starts, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestHoldsOfWaitingJobsLeaveTheLimit: a job that waits for others holds no part of
+// its team's limit, although held room counts toward it: what is held for such a job
+// gives way to any work of the team at the limit, and only there. Once the job may
+// start, its holds count as others do.
+func TestHoldsOfWaitingJobsLeaveTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		max             float64
+		barred          bool
+		started, ending int
+	}{{8, true, 1, 1}, {8, false, 0, 0}, {12, true, 1, 0}, {4, true, 0, 0}} {
+		held := oneRig(Held{Pipeline: Pipeline{"a", "y", "j-1"}, Priority: 1, Room: Room{1, 4, 1}, Barred: c.barred})
+		room, busy := oneRig(), oneRig()
+		room.Name, busy.Name, busy.Slots = "m-1", "m-2", []Slot{{Job: sweepJob("j-9", "a", 1), Room: Room{1, 4, 1}}}
+		w := &World{Rigs: []*Rig{held, room, busy}, Jobs: []*Job{sweepJob("j-2", "a", 0)}, Teams: map[string]*Team{"a": {Max: Room{GPUs: c.max}, Used: Room{GPUs: 8}}}}
+		p := Decide(w)
+		if len(p.Starts) != c.started || len(p.Released) != c.ending {
+			t.Errorf("limit %v, barred %v: %d started, %d holds given up", c.max, c.barred, len(p.Starts), len(p.Released))
+		}
+		if u := w.Teams["a"].Used.GPUs; u > max(8, c.max) || c.started == 0 && u != 8 {
+			t.Errorf("limit %v, barred %v: the team uses %v", c.max, c.barred, u)
+		}
+	}
+}
+
 // TestEvictedStillCounts guards against an incident: a pass that stopped a
 // team's task let the same team start another at once, over its limit.
 func TestEvictedStillCounts(t *testing.T) {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -261,7 +261,7 @@
 		o.rig.claimed = j
 		// What is held here for lower work can't be used by it any more.
 		for _, h := range slices.Clone(o.rig.Held) {
-			if h.Pipeline != j.Pipeline() && !h.blocks(j) {
+			if !j.Owns(h.Pipeline) && !h.blocks(j) {
 				p.release(heldOn{o.rig, h})
 			}
 		}
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -106,10 +106,17 @@
 	Pipeline Pipeline
 	Priority int
 	Room     Room
+	// Barred is set while the job that it is for may not start yet.
+	Barred bool
 }
 
-// Pipeline is one owner's jobs of one workload, in submission order.
-type Pipeline struct{ Owner, Workload string }
+// Pipeline is one owner's jobs of one workload, in submission order. Where users
+// name the edges it is what ends in one job: that job, its owner and workload, and
+// all that it waits for.
+type Pipeline struct {
+	Owner, Workload string
+	Downstream      string // the job that waits, along named edges
+}
 
 // Rig is a machine as placement sees it.
 type Rig struct {
@@ -183,6 +190,9 @@
 	Waiting    []int
 	Zones      map[string]int // tasks that may be on machines, by zone
 	Avoid      map[string]bool
+	// Feeds are the jobs with room held for them that wait for this one, directly or
+	// through others.
+	Feeds map[string]bool
 	// Passed is how long none of its tasks has been given a place.
 	Passed  time.Duration
 	Blocked bool // may not start now: backing off, or an old attempt stands
@@ -232,8 +242,23 @@
 	j.Slack = tuning.LateStanding - (age-last)/tuning.LateRise
 }
 
-// Pipeline tells which pipeline the job belongs to.
-func (j *Job) Pipeline() Pipeline { return Pipeline{j.Spec.Owner, j.Spec.Workload} }
+// Pipeline tells which pipeline the job belongs to by its owner and workload.
+func (j *Job) Pipeline() Pipeline {
+	return Pipeline{Owner: j.Spec.Owner, Workload: j.Spec.Workload}
+}
+
+// Edges is the pipeline that ends in the job by the edges that users name.
+func (j *Job) Edges() Pipeline {
+	return Pipeline{j.Spec.Owner, j.Spec.Workload, j.Spec.NameID}
+}
+
+// Owns tells whether the job's tasks are the pipeline's own.
+func (j *Job) Owns(p Pipeline) bool {
+	if p.Downstream == "" {
+		return p == j.Pipeline()
+	}
+	return p.Downstream == j.Spec.NameID || j.Feeds[p.Downstream]
+}
 
 // ZoneCap is the most tasks that the job may have in one zone.
 func ZoneCap(s *intake.Job) int {
--- a/internal/reserve/book.go
+++ b/internal/reserve/book.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -27,8 +28,9 @@
 	Expires    time.Time
 }
 
-// Downstream is the job that a hold is for.
+// Downstream is a job that holds are for.
 type Downstream struct {
+	Pipeline placement.Pipeline
 	Job      string
 	Pieces   int // 0: not known
 	Priority int
@@ -37,16 +39,16 @@
 
 // Finish is the end of one upstream task.
 type Finish struct {
-	Pipeline placement.Pipeline
-	Job      string
-	Pieces   int       // m
-	Started  time.Time // when the upstream's first task started
-	Ran      time.Duration
-	Rig      string
-	// Fits tells whether the freed room can and may take a task of Next.
-	Fits bool
-	// Next is the earliest job of the pipeline still waiting to start, or nil.
-	Next *Downstream
+	Job     string
+	Pieces  int       // m
+	Started time.Time // when the upstream's first task started
+	Ran     time.Duration
+	Rig     string
+	// Next are the jobs after this one that still wait to start, the first one to
+	// be served first: along edges that users name there may be several.
+	Next []Downstream
+	// Fits tells whether the freed room can and may take a task of one.
+	Fits func(Downstream) bool
 	Now  time.Time
 }
 
@@ -57,10 +59,9 @@
 	first    time.Duration // t_m: the first finisher's run time
 	expires  time.Time
 	// extra is the room still to be held from elsewhere, for m < n.
-	extra    int
-	asked    bool
-	pipeline placement.Pipeline
-	next     Downstream
+	extra int
+	asked bool
+	next  []Downstream
 }
 
 // Book keeps the holds in memory.
@@ -103,23 +104,17 @@
 	s.finished++
 	s.expires = f.Started.Add(b.opt.Lapse(s.first, f.Pieces))
 	held := false
-	if f.Next != nil {
-		m, n := f.Pieces, f.Next.Pieces
-		if n == 0 {
-			n = m
+	if len(f.Next) > 0 {
+		m, n := f.Pieces, 0
+		for _, d := range f.Next {
+			n += d.tasks(m)
 		}
-		s.pipeline, s.next = f.Pipeline, *f.Next
+		s.next = f.Next
 		switch {
 		case m > n && s.released < m-n:
 			s.released++
-		case b.counts[f.Next.Job] >= n:
-			// Several upstream jobs may end while the same one waits. It can use
-			// no more than its own tasks take; all else would only stand empty
-			// and use up the team's limit, as on Peakdale, where one gang of 24
-			// had 237 machines held for it and could not start for that.
-		case f.Fits && s.expires.After(f.Now):
-			b.add(Hold{f.Rig, f.Pipeline, f.Job, f.Next.Job, f.Next.Priority, f.Next.Need, s.expires})
-			held = true
+		case s.expires.After(f.Now):
+			held = b.holdFor(s, f.Job, f.Rig, m, f.Fits)
 		}
 		if m < n && !s.asked && float64(s.finished) > b.opt.Threshold*float64(m) {
 			s.asked, s.extra = true, n-m
@@ -131,10 +126,35 @@
 	return held
 }
 
+// tasks is n of a job; unknown, it counts as the upstream's m.
+func (d Downstream) tasks(m int) int {
+	if d.Pieces == 0 {
+		return m
+	}
+	return d.Pieces
+}
+
+// holdFor holds room for the first of a stage's jobs that has not all that it can use
+// and that fits there.
+//
+// Several upstream jobs may end while the same one waits. It can use no more than its
+// own tasks take; all else would only stand empty and use up the team's limit, as on
+// Peakdale, where one gang of 24 had 237 machines held for it and could not start for
+// that.
+func (b *Book) holdFor(s *stage, upstream, rig string, m int, fits func(Downstream) bool) bool {
+	for _, d := range s.next {
+		if b.counts[d.Job] < d.tasks(m) && fits(d) {
+			b.add(Hold{rig, d.Pipeline, upstream, d.Job, d.Priority, d.Need, s.expires})
+			return true
+		}
+	}
+	return false
+}
+
 // Freed offers room that came free elsewhere to the stages that hold more
-// than their own; fits tells whether a task of the named job can use it. The
-// highest priority goes first.
-func (b *Book) Freed(rig string, fits func(job string, need placement.Room) bool, now time.Time) bool {
+// than their own; fits tells whether a task of the job can use it. The highest
+// priority goes first.
+func (b *Book) Freed(rig string, fits func(Downstream) bool, now time.Time) bool {
 	var names []string
 	for name, s := range b.stages {
 		if s.extra > 0 {
@@ -147,19 +167,15 @@
 	}
 	sort.Slice(names, func(i, j int) bool {
 		a, c := b.stages[names[i]], b.stages[names[j]]
-		if a.next.Priority != c.next.Priority {
-			return a.next.Priority > c.next.Priority
+		if a.next[0].Priority != c.next[0].Priority {
+			return a.next[0].Priority > c.next[0].Priority
 		}
 		return names[i] < names[j]
 	})
 	for _, name := range names {
-		s := b.stages[name]
-		if s.next.Pieces > 0 && b.counts[s.next.Job] >= s.next.Pieces {
-			continue // it has all that it can use
-		}
-		if fits(s.next.Job, s.next.Need) {
+		// An unknown n counts as m, and then nothing more is held from elsewhere.
+		if s := b.stages[name]; b.holdFor(s, name, rig, 0, fits) {
 			s.extra--
-			b.add(Hold{rig, s.pipeline, name, s.next.Job, s.next.Priority, s.next.Need, s.expires})
 			return true
 		}
 	}
@@ -198,10 +214,10 @@
 	return out
 }
 
-// Use takes up one hold on the machine for a task of the pipeline.
-func (b *Book) Use(rig string, p placement.Pipeline) bool {
+// Use takes up one hold on the machine for a task that is its pipeline's own.
+func (b *Book) Use(rig string, owns func(placement.Pipeline) bool) bool {
 	for i, h := range b.holds[rig] {
-		if h.Pipeline == p {
+		if owns(h.Pipeline) {
 			b.remove(rig, i)
 			return true
 		}
@@ -264,7 +280,7 @@
 		}
 	}
 	for name, s := range b.stages {
-		if s.expires.Before(now.Add(-time.Hour)) || s.extra > 0 && !waits(s.next.Job) {
+		if s.expires.Before(now.Add(-time.Hour)) || s.extra > 0 && !slices.ContainsFunc(s.next, func(d Downstream) bool { return waits(d.Job) }) {
 			delete(b.stages, name)
 		}
 	}
--- a/internal/reserve/book_test.go
+++ b/internal/reserve/book_test.go
@@ -18,10 +18,14 @@
 	t0   = time.Unix(1000, 0)
 )
 
-func finishAll(b *Book, m int, next *Downstream) (held []bool) {
+func fits(Downstream) bool { return true }
+
+func owned(p placement.Pipeline) bool { return p == pipe }
+
+func finishAll(b *Book, m int, next ...Downstream) (held []bool) {
 	for i := range m {
-		held = append(held, b.Finished(Finish{Pipeline: pipe, Job: "j-1", Pieces: m, Started: t0, Ran: 10 * time.Second,
-			Rig: fmt.Sprint("m-", i), Fits: true, Next: next, Now: t0.Add(10 * time.Second)}))
+		held = append(held, b.Finished(Finish{Job: "j-1", Pieces: m, Started: t0, Ran: 10 * time.Second,
+			Rig: fmt.Sprint("m-", i), Fits: fits, Next: next, Now: t0.Add(10 * time.Second)}))
 	}
 	return held
 }
@@ -31,7 +35,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m, n := rapid.IntRange(1, 40).Draw(t, "m"), rapid.IntRange(0, 40).Draw(t, "n")
 		b := New(opt)
-		held := finishAll(b, m, &Downstream{Job: "j-2", Pieces: n, Need: unit})
+		held := finishAll(b, m, Downstream{Pipeline: pipe, Job: "j-2", Pieces: n, Need: unit})
 		for i, h := range held {
 			// n unknown counts as m; of m > n the first m-n release.
 			if want := n == 0 || i >= m-n; h != want {
@@ -39,7 +43,7 @@
 			}
 		}
 		extra := 0
-		for b.Freed("m-x", func(string, placement.Room) bool { return true }, t0.Add(11*time.Second)) {
+		for b.Freed("m-x", fits, t0.Add(11*time.Second)) {
 			extra++
 		}
 		want := 0
@@ -52,14 +56,66 @@
 	})
 }
 
+// TestHoldRuleOfSeveral: where several jobs wait for one, n is what all of them have
+// of tasks; room goes to the first that has not all that it can use and that fits
+// there, and none gets more than its own.
+func TestHoldRuleOfSeveral(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := rapid.IntRange(1, 30).Draw(t, "m")
+		var list []Downstream
+		n, useful := 0, 0
+		no := map[string]bool{}
+		for i := range rapid.IntRange(1, 4).Draw(t, "jobs") {
+			name := fmt.Sprint("j-1", i)
+			d := Downstream{Pipeline: placement.Pipeline{Owner: "a", Workload: "x", Downstream: name}, Job: name, Pieces: rapid.IntRange(1, 9).Draw(t, "n"), Need: unit}
+			if no[name] = rapid.IntRange(0, 3).Draw(t, "fits") == 0; !no[name] {
+				useful += d.Pieces
+			}
+			n += d.Pieces
+			list = append(list, d)
+		}
+		may := func(d Downstream) bool { return !no[d.Job] }
+		b := New(opt)
+		for i := range m {
+			b.Finished(Finish{Job: "j-1", Pieces: m, Started: t0, Ran: 10 * time.Second, Rig: fmt.Sprint("m-", i), Fits: may, Next: list, Now: t0.Add(10 * time.Second)})
+			if i < m-n && len(b.All()) > 0 {
+				t.Fatalf("finisher %d of %d holds for %d tasks", i, m, n)
+			}
+		}
+		for range n {
+			b.Freed("m-x", may, t0.Add(11*time.Second))
+		}
+		// Of m < n, n-m more are held from elsewhere; of m > n, m-n finishers do not.
+		if want := min(useful, n); len(b.All()) != want {
+			t.Fatalf("m %d n %d useful %d: %d held, want %d", m, n, useful, len(b.All()), want)
+		}
+		short := false
+		for _, d := range list {
+			count := 0
+			for _, h := range b.All() {
+				if h.Downstream == d.Job {
+					count++
+					if h.Pipeline != d.Pipeline {
+						t.Fatalf("%+v held for %s", h, d.Job)
+					}
+				}
+			}
+			if no[d.Job] && count > 0 || count > d.Pieces || short && count > 0 {
+				t.Fatalf("%d held for %s of %d; an earlier one lacks some: %v", count, d.Job, d.Pieces, short)
+			}
+			short = short || !no[d.Job] && count < d.Pieces
+		}
+	})
+}
+
 // TestThreshold: nothing is held from elsewhere before more than the wished
 // part of the stage has finished.
 func TestThreshold(t *testing.T) {
 	b := New(opt)
 	for i := range 10 {
-		b.Finished(Finish{Pipeline: pipe, Job: "j-1", Pieces: 10, Started: t0, Ran: 10 * time.Second, Rig: "m", Fits: true,
-			Next: &Downstream{Job: "j-2", Pieces: 11, Need: unit}, Now: t0.Add(10 * time.Second)})
-		got := b.Freed("m-x", func(string, placement.Room) bool { return true }, t0.Add(10*time.Second))
+		b.Finished(Finish{Job: "j-1", Pieces: 10, Started: t0, Ran: 10 * time.Second, Rig: "m", Fits: fits,
+			Next: []Downstream{{Job: "j-2", Pieces: 11, Need: unit}}, Now: t0.Add(10 * time.Second)})
+		got := b.Freed("m-x", fits, t0.Add(10*time.Second))
 		if got != (i == 8) {
 			t.Errorf("after %d of 10: extra held %v", i+1, got)
 		}
@@ -86,7 +142,7 @@
 // TestHoldsEnd: holds lapse, end with their downstream job's wait, and give
 // way where room was taken.
 func TestHoldsEnd(t *testing.T) {
-	next := &Downstream{Job: "j-2", Pieces: 3, Need: unit}
+	next := Downstream{Pipeline: pipe, Job: "j-2", Pieces: 3, Need: unit}
 	always := func(string) bool { return true }
 	b := New(opt)
 	finishAll(b, 3, next)
@@ -96,7 +152,7 @@
 	if ch := b.Lapse(t0.Add(11*time.Second), always); len(ch) != 0 {
 		t.Errorf("lapsed early: %v", ch)
 	}
-	if !b.Use("m-0", pipe) || b.Use("m-0", pipe) {
+	if !b.Use("m-0", owned) || b.Use("m-0", owned) {
 		t.Errorf("a hold is used other than once")
 	}
 	if !b.Override("m-1", placement.Room{}) || len(b.On("m-1")) != 0 {
@@ -122,7 +178,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := New(opt)
 		now := t0
-		downstream := []Downstream{{Job: "j-90", Pieces: 3, Need: unit}, {Job: "j-91", Pieces: 7, Priority: 1, Need: unit}}
+		downstream := []Downstream{{Pipeline: pipe, Job: "j-90", Pieces: 3, Need: unit}, {Pipeline: pipe, Job: "j-91", Pieces: 7, Priority: 1, Need: unit}}
 		waits := map[string]bool{"j-90": true, "j-91": true}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Second)
@@ -132,17 +188,21 @@
 			case 0:
 				b.Drop(rig)
 			case 1:
-				b.Use(rig, pipe)
+				b.Use(rig, owned)
 			case 2:
 				b.Override(rig, unit)
 			case 3:
 				waits[next.Job] = rapid.Bool().Draw(t, "waits")
 				b.Lapse(now, func(job string) bool { return waits[job] })
 			case 4:
-				b.Freed(rig, func(string, placement.Room) bool { return true }, now)
+				b.Freed(rig, fits, now)
 			default:
-				b.Finished(Finish{Pipeline: pipe, Job: fmt.Sprint("j-", rapid.IntRange(0, 3).Draw(t, "upstream")),
-					Pieces: rapid.IntRange(1, 12).Draw(t, "m"), Started: now, Ran: 10 * time.Second, Rig: rig, Fits: true, Next: &next, Now: now})
+				list := []Downstream{next}
+				if rapid.Bool().Draw(t, "both") {
+					list = downstream
+				}
+				b.Finished(Finish{Job: fmt.Sprint("j-", rapid.IntRange(0, 3).Draw(t, "upstream")),
+					Pieces: rapid.IntRange(1, 12).Draw(t, "m"), Started: now, Ran: 10 * time.Second, Rig: rig, Fits: fits, Next: list, Now: now})
 			}
 			count := map[string]int{}
 			for _, h := range b.All() {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -325,6 +325,10 @@
 	HoldAlpha     = 1.6
 	HoldP         = 0.4
 	HoldThreshold = 0.8
+	// DownstreamsSeen is how many of the jobs that wait for one are looked at when
+	// its tasks end (jobs): a job may have thousands after it, and holds for a few
+	// take all the room that it leaves.
+	DownstreamsSeen = 64
 )
 
 // Cloud.
