--- a/internal/intake/mirror_test.go
+++ b/internal/intake/mirror_test.go
@@ -1,11 +1,14 @@
 package intake
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"thornnotch/internal/config"
 	"thornnotch/internal/ledger"
 )
 
@@ -84,3 +87,65 @@
 		}
 	})
 }
+
+// racing is a state service during whose transactions something else happens.
+type racing struct {
+	*memory
+	ahead, after func()
+}
+
+func (r racing) Multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error) {
+	r.ahead()
+	defer r.after()
+	return r.memory.Multi(ctx, class, when, writes)
+}
+
+// TestOwnRecordProvesNothingOfAWaitingJob guards against an own day of an upgrade: a
+// job was called pending after another node had called it cancelled with one before
+// it. The poll came while its node did not know the job, so it was taken for one whose
+// own record proves its state; then the node came to know it. Whenever that is, a job
+// that waits is not told of by its own record alone; one that does not is.
+func TestOwnRecordProvesNothingOfAWaitingJob(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := racing{memory: &memory{rows: map[string]ledger.Row{"open/j-2": {K: "open/j-2", V: []byte(`{}`), Stamp: 9}}, stamp: 10}}
+		s, err := NewServer(store, nil, config.State{TxnOps: 12, ValueKB: 16}, 4, nil, allRunning, nil, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.mirror.replace(nil, 5)
+		needs := Needs{WaitsOn: []string{"j-9"}}
+		if rapid.Bool().Draw(t, "free") {
+			needs = Needs{}
+		}
+		comes := rapid.SampledFrom([]string{"before", "during", "after", "never"}).Draw(t, "comes")
+		recorded := false
+		arrive := func(when string) func() {
+			return func() {
+				if when == comes && !recorded {
+					recorded = true
+					store.rows["open/j-1"] = ledger.Row{K: "open/j-1", V: []byte(`{}`), Stamp: 11}
+					s.mirror.learn("j-1", 11, needs)
+				}
+			}
+		}
+		arrive("before")()
+		store.ahead, store.after = arrive("during"), arrive("after")
+		s.store = store
+		// The second one clashes, as this node does not know it: what is left is asked
+		// again.
+		batch := []ask{{id: "j-1", ctx: t.Context(), answer: make(chan answer, 1)}, {id: "j-2", ctx: t.Context(), answer: make(chan answer, 1)}}
+		rest := s.prove(t.Context(), batch)
+		told, left := len(batch[0].answer) > 0, false
+		for _, a := range rest {
+			left = left || a.id == "j-1"
+		}
+		if told == left {
+			t.Fatalf("%s: told %v, left to be read %v", comes, told, left)
+		}
+		// Unknown all the time it is nobody's; waiting for nothing its record proves it.
+		// That it came while it was compared clashes.
+		if want := comes == "never" || needs.None() && comes != "during"; told != want {
+			t.Fatalf("%s, waits for nothing %v: told %v", comes, needs.None(), told)
+		}
+	})
+}
--- a/internal/intake/poll.go
+++ b/internal/intake/poll.go
@@ -96,23 +96,43 @@
 }
 
 // prove settles what it can of a batch and returns the polls that need reads
-// of their own: those whose keys are not as this node knows them.
+// of their own: those whose keys are not as this node knows them, and those of jobs
+// that may be cancelled with one before them, for which their own record proves
+// nothing. What is known of a job may have come since the batch was sorted, or since
+// a clash, so that is asked together with the revision that is compared: a job that
+// another node had called cancelled was called pending here, as it became known
+// between the two.
 func (s *Server) prove(ctx context.Context, batch []ask) (rest []ask) {
 	for len(batch) > 0 {
 		var when []ledger.Cond
-		seen := make(map[string]uint64, len(batch))
+		seen, waits := make(map[string]uint64, len(batch)), make(map[string]bool)
 		for _, a := range batch {
-			if _, ok := seen[a.id]; ok {
+			if _, ok := seen[a.id]; ok || waits[a.id] {
 				continue
 			}
-			stamp := s.mirror.known(a.id)
-			seen[a.id] = stamp
-			when = append(when, ledger.Cond{K: OpenPrefix + a.id, Stamp: stamp})
-			if stamp == 0 {
+			o := s.mirror.get(a.id)
+			if !o.needs.None() {
+				waits[a.id] = true
+				continue
+			}
+			seen[a.id] = o.stamp
+			when = append(when, ledger.Cond{K: OpenPrefix + a.id, Stamp: o.stamp})
+			if o.stamp == 0 {
 				// Neither open nor final at one moment: nobody's job.
 				when = append(when, ledger.Cond{K: FinalPrefix + a.id})
 			}
 		}
+		if len(waits) > 0 {
+			batch = slices.DeleteFunc(slices.Clone(batch), func(a ask) bool {
+				if waits[a.id] {
+					rest = append(rest, a)
+				}
+				return waits[a.id]
+			})
+		}
+		if len(batch) == 0 {
+			return rest
+		}
 		callCtx, cancel := context.WithTimeout(ctx, tuning.PollPatience)
 		_, err := s.store.Multi(callCtx, ledger.Poll, when, nil)
 		cancel()
