Transactions wait for their answer for half a second, longer where the service is slow

Polls and the leader's records too are sent again sooner where answers are lost. A first try with a fixed half second made TestMeetTasksEndApart fail: a service that takes longer throughout was never heard. The wait now follows how long the last answer took.

--- a/internal/intake/poll.go
+++ b/internal/intake/poll.go
@@ -134,7 +134,7 @@
 			return rest
 		}
 		callCtx, cancel := context.WithTimeout(ctx, tuning.PollPatience)
-		_, err := s.store.Multi(callCtx, ledger.Poll, when, nil)
+		_, err := s.multi(callCtx, ledger.Poll, when, nil)
 		cancel()
 		var conflict *ledger.Conflict
 		switch {
--- a/internal/intake/waits.go
+++ b/internal/intake/waits.go
@@ -56,7 +56,7 @@
 		for _, id := range batch {
 			when = append(when, ledger.Cond{K: OpenPrefix + id}, ledger.Cond{K: FinalPrefix + id})
 		}
-		_, err := s.store.Multi(ctx, ledger.Submit, when, nil)
+		_, err := s.multi(ctx, ledger.Submit, when, nil)
 		var conflict *ledger.Conflict
 		switch {
 		case err == nil:
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -85,6 +85,8 @@
 	http   *http.Client
 	Budget *Budget
 	health health
+	// patience bounds transactions.
+	patience patience
 	// Limited, if set, is called with each refusal for too many calls.
 	Limited func()
 }
@@ -108,6 +110,32 @@
 	}
 }
 
+// patience is how long a transaction may take. It can be sent again, so a lost answer
+// should not be waited for long; but if the service is slow throughout, whoever never
+// waits longer hears no answer at all.
+type patience struct {
+	mu   sync.Mutex
+	wait time.Duration // 0: the least
+}
+
+func (p *patience) next() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.wait, tuning.TxnTimeout)
+}
+
+func (p *patience) lost() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wait = tuning.StateTimeout
+}
+
+func (p *patience) answered(after time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wait = min(max(p.wait/2, tuning.TxnSlack*after), tuning.StateTimeout)
+}
+
 // Answers tells when the service last answered this node usefully.
 func (c *Client) Answers() time.Time {
 	c.health.mu.Lock()
@@ -264,11 +292,20 @@
 		Epoch uint64 `json:"epoch"`
 	}
 	timeout := tuning.StateTimeout
-	if class == Submit || class == Cancel {
-		timeout = tuning.UserTimeout
+	if class != Lease {
+		timeout = c.patience.next()
 	}
+	asked := time.Now()
 	status, raw, err := c.call(ctx, timeout, http.MethodPost, "/multi", in, &out)
 	switch {
+	case ctx.Err() != nil:
+		// Its caller gave up; that says nothing.
+	case errors.Is(err, ErrUnknown):
+		c.patience.lost()
+	default:
+		c.patience.answered(time.Since(asked))
+	}
+	switch {
 	case err != nil:
 		return 0, err
 	case status == http.StatusOK:
--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -8,6 +8,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"thornnotch/internal/tuning"
 )
 
 // TestImpossibleAnswers: whatever the state service says that the protocol does
@@ -57,3 +62,35 @@
 		t.Errorf("a conflict on nothing: %v", err)
 	}
 }
+
+// TestPatience: however slow the service is, within what one request may take, all but
+// the first transaction hear its answer; lost answers are waited for no longer than
+// that, and where answers are quick soon for the least again.
+func TestPatience(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p patience
+		takes := time.Duration(rapid.IntRange(1, int(tuning.StateTimeout/time.Millisecond)).Draw(t, "ms")) * time.Millisecond
+		unheard := 0
+		for range 30 {
+			if takes > p.next() {
+				unheard++
+				p.lost()
+				continue
+			}
+			p.answered(takes)
+		}
+		if unheard > 1 {
+			t.Fatalf("of a service that takes %v %d answers are not heard", takes, unheard)
+		}
+		p.lost()
+		if p.next() != tuning.StateTimeout {
+			t.Fatalf("after a loss it waits %v", p.next())
+		}
+		quick := time.Duration(rapid.IntRange(1, 200).Draw(t, "quick")) * time.Millisecond
+		p.answered(quick)
+		p.answered(quick)
+		if p.next() != tuning.TxnTimeout {
+			t.Fatalf("after two answers in %v it waits %v", quick, p.next())
+		}
+	})
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -62,9 +62,13 @@
 	// StateTimeout bounds one ordinary request; answers take a few hundred
 	// milliseconds at worst, and users wait 2 s for a poll.
 	StateTimeout = 1500 * time.Millisecond
-	// UserTimeout bounds one transaction for a user: they wish to be answered within a
-	// second, and one whose answer is lost can be sent once more in that time.
-	UserTimeout = 500 * time.Millisecond
+	// TxnTimeout bounds one transaction but for those of elections while the last one
+	// was answered in good time: answers take a few hundred milliseconds at worst,
+	// users wish to be answered within a second, and one whose answer is lost can be
+	// sent once more in that time. A service that is slower gets up to StateTimeout.
+	TxnTimeout = 500 * time.Millisecond
+	// TxnSlack is how many times the last answer's time the next one may take (times).
+	TxnSlack = 2
 	// UserTries is how often a user's transaction without an answer is sent, in all
 	// (times).
 	UserTries = 3
