A waiting job's times count from its last upstream's end also where the clock is behind

The end's time was passed over where the earlier leader's clock was ahead of ours, and the job then stood in the queue as if it had waited since its submission.

--- a/internal/leader/inherit_test.go
+++ b/internal/leader/inherit_test.go
@@ -108,3 +108,39 @@
 		t.Errorf("without bounds: %v", l.expects(j))
 	}
 }
+
+// TestTimesCountFromTheLastEnd: a job's times count from when the last job before it
+// was done, as its record says, whichever record is read first and whatever the clock
+// of the leader that wrote it; its due time counts from its submission.
+func TestTimesCountFromTheLastEnd(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.UnixMilli(1_700_000_000_000)
+		l := testLeader(t)
+		due := 300.0
+		spec := sweep("j-9", 1)
+		spec.DueS, spec.WaitsOn = &due, []string{"j-1", "j-2"}
+		j := addJob(t, l, spec, now)
+		accepted, last := j.accepted, j.accepted
+		now = now.Add(100 * time.Second)
+		for _, name := range spec.WaitsOn {
+			// Up to a minute off, or not recorded.
+			at := now.Add(time.Duration(rapid.IntRange(-160, 60).Draw(rt, "s")) * time.Second)
+			f := intake.Final{Status: intake.Done, AtMS: at.UnixMilli()}
+			if rapid.IntRange(0, 4).Draw(rt, "kept") == 0 {
+				f.AtMS = 0
+			} else if at.After(last) {
+				last = at
+			}
+			l.fate(name, f, now)
+		}
+		if last.After(now) {
+			last = now
+		}
+		if !j.view.Submitted.Equal(last) || !j.accepted.Equal(accepted) {
+			rt.Fatalf("counts from %v, want %v", j.view.Submitted, last)
+		}
+		if want := accepted.Add(300*time.Second - 30*time.Second - 5*time.Second); !last.Add(j.view.Targets[0]).Equal(want) {
+			rt.Fatalf("must start at %v to be in time, want %v", last.Add(j.view.Targets[0]), want)
+		}
+	})
+}
--- a/internal/leader/waits.go
+++ b/internal/leader/waits.go
@@ -180,8 +180,13 @@
 				continue
 			}
 			delete(j.before, e.name)
-			if at := time.UnixMilli(e.f.AtMS); e.f.AtMS > 0 && at.After(j.view.Submitted) && !at.After(now) {
+			// By an earlier leader's clock, which may be ahead of ours: it has
+			// happened all the same, and long after the submission for all we know.
+			if at := time.UnixMilli(e.f.AtMS); e.f.AtMS > 0 && at.After(j.view.Submitted) {
 				j.view.Submitted = at
+				if at.After(now) {
+					j.view.Submitted = now
+				}
 			}
 			if !j.waiting() {
 				l.mayStart(j, now)
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -15,7 +15,8 @@
 // records. testdata/production.json is what the version in production had written
 // to the state service amid its work: jobs done, cancelled and open, the log's head
 // and entries, the catalog. What is shown here is that records are read in both
-// directions; leaders that alternate are played by the bench's upgrade days.
+// directions; .ci/versions has real processes of both versions lead by turns, and the
+// bench's upgrade days play both through outages and refusals.
 
 type stored struct {
 	K string          `json:"k"`
