--- /dev/null
+++ b/internal/node/crowd_test.go
@@ -0,0 +1,274 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
+)
+
+// crowd is the users of a site. They ask any node, and hold every answer against
+// what users were told before they asked.
+type crowd struct {
+	s    *site
+	ctx  context.Context
+	wait sync.WaitGroup
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	known map[string]*told
+	// answered and refused count the requests that got a definite answer, and
+	// those that did not.
+	answered, refused int
+}
+
+// told is what users know of a job.
+type told struct {
+	job *intake.Job
+	// state is the latest that was told: empty, pending (accepted), aborted or
+	// done; at is when.
+	state string
+	at    time.Time
+	// called: a user has asked to cancel it.
+	called bool
+}
+
+func newCrowd(s *site, ctx context.Context, rng *rand.Rand) *crowd {
+	return &crowd{s: s, ctx: ctx, rng: rng, known: make(map[string]*told)}
+}
+
+func (c *crowd) intn(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.IntN(n)
+}
+
+// pause draws a time between two.
+func (c *crowd) span(least, most time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return least + time.Duration(c.rng.Int64N(int64(most-least)+1))
+}
+
+func (c *crowd) rest(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.ctx.Done():
+	case <-t.C:
+	}
+}
+
+// hear holds an answer against what was known when it was asked for.
+func (c *crowd) hear(id, what string, node, code int, st intake.State, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.known[id]
+	if code == http.StatusOK || code == http.StatusCreated || code == http.StatusNotFound || code == http.StatusBadRequest || code == http.StatusUnprocessableEntity {
+		c.answered++
+	} else {
+		c.refused++
+		return
+	}
+	j := c.s.judge
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	// An answer that crosses another may be the older one.
+	before := k != nil && k.state != "" && k.at.Before(asked)
+	switch {
+	case code == http.StatusNotFound:
+		if before {
+			j.fail("forgotten: %s of %s at node %d got 404 after %s", what, id, node, k.state)
+		}
+		return
+	case code == http.StatusBadRequest || code == http.StatusUnprocessableEntity:
+		if before {
+			j.fail("forgotten: %s of %s at node %d got %d", what, id, node, code)
+		}
+		return
+	case k == nil:
+		j.fail("invented: %s of %s at node %d got %s", what, id, node, st.Status)
+		return
+	}
+	over := st.Status == intake.Done || st.Status == intake.Aborted
+	if before && (k.state == intake.Done || k.state == intake.Aborted) && st.Status != k.state {
+		j.fail("went_back: %s of %s at node %d got %s after %s", what, id, node, st.Status, k.state)
+	}
+	if st.Status == intake.Aborted && !k.called {
+		j.fail("went_back: %s is called cancelled, which its user did not ask for", id)
+	}
+	if st.Status == intake.Done {
+		for i := range k.job.Pieces {
+			if j.done[fleet.TaskID{Job: id, Index: i}] == 0 {
+				j.fail("not_done: %s is called done before its task %d is", id, i)
+			}
+		}
+	}
+	if over && k.state != st.Status {
+		k.state, k.at = st.Status, time.Now()
+	} else if k.state == "" {
+		k.state, k.at = intake.Pending, time.Now()
+	}
+	if st.Status == intake.Aborted {
+		if _, ok := j.called[id]; !ok {
+			j.called[id] = time.Now()
+		}
+	}
+}
+
+// know registers a job that a user is about to submit.
+func (c *crowd) know(j *intake.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.known[j.NameID] == nil {
+		c.known[j.NameID] = &told{job: j}
+	}
+}
+
+// heard is what users were told of a job.
+func (c *crowd) heard(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known[id].state
+}
+
+// submitAt sends a submission once.
+func (c *crowd) submitAt(node int, j *intake.Job) int {
+	c.know(j)
+	asked := time.Now()
+	code, st := c.s.submitted(node, j)
+	c.hear(j.NameID, "submission", node, code, st, asked)
+	return code
+}
+
+// submit submits until it is accepted, as users do, for a minute at most.
+func (c *crowd) submit(j *intake.Job) bool {
+	c.know(j)
+	for end := time.Now().Add(time.Minute); time.Now().Before(end) && c.ctx.Err() == nil; c.rest(time.Second) {
+		if code := c.submitAt(c.intn(c.s.layout.nodes), j); code == http.StatusCreated || code == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// poll asks once.
+func (c *crowd) poll(node int, id string) (int, string) {
+	asked := time.Now()
+	code, st := c.s.call(node, "GET", "/work/"+id, nil)
+	c.hear(id, "poll", node, code, st, asked)
+	return code, st.Status
+}
+
+// cancelAt asks once to cancel.
+func (c *crowd) cancelAt(node int, id string) string {
+	c.mu.Lock()
+	if k := c.known[id]; k != nil {
+		k.called = true
+	}
+	c.mu.Unlock()
+	asked := time.Now()
+	code, st := c.s.call(node, "POST", "/work/"+id+"/cancel", nil)
+	c.hear(id, "cancellation", node, code, st, asked)
+	if code != http.StatusOK {
+		return ""
+	}
+	return st.Status
+}
+
+// cancel asks until there is an answer.
+func (c *crowd) cancel(id string) string {
+	for end := time.Now().Add(time.Minute); time.Now().Before(end) && c.ctx.Err() == nil; c.rest(time.Second) {
+		if st := c.cancelAt(c.intn(c.s.layout.nodes), id); st != "" {
+			return st
+		}
+	}
+	return ""
+}
+
+// look asks at all nodes, again and again within milliseconds, and repeats the
+// submission.
+func (c *crowd) look(id string) {
+	c.mu.Lock()
+	j := c.known[id].job
+	c.mu.Unlock()
+	var wait sync.WaitGroup
+	for node := range c.s.layout.nodes {
+		wait.Go(func() {
+			for range 3 {
+				c.poll(node, id)
+				c.rest(c.span(0, 4*time.Millisecond))
+			}
+			c.submitAt(node, j)
+		})
+	}
+	wait.Wait()
+}
+
+// odd sends what must be refused, whatever else goes on.
+func (c *crowd) odd(node int) {
+	s := c.s
+	bad := func(what string, want int, method, path string, body any) {
+		code, _ := s.call(node, method, path, body)
+		if code != want && code != http.StatusServiceUnavailable && code != 0 {
+			s.judge.mu.Lock()
+			s.judge.fail("%s got %d, not %d", what, code, want)
+			s.judge.mu.Unlock()
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if code == want {
+			c.answered++
+		} else {
+			c.refused++
+		}
+	}
+	id := fmt.Sprintf("j-%06d", 900000+c.intn(90000))
+	body := map[string]any{"nameId": id, "workload": "sweep", "owner": "a", "shape": intake.Sweep, "urgency": "standard", "pieces": 2, "vcpus": 1.0,
+		"accelerators": 0.0, "ramGb": 1.0, "bundle": "img", "imageGb": 1.0, "samePlace": false, "apart": false, "loaners": true, "expectS": 5.0, "snapshotS": 0.0, "stashS": 0.0}
+	with := func(key string, v any) map[string]any {
+		out := make(map[string]any, len(body))
+		for k, x := range body {
+			out[k] = x
+		}
+		if v == nil {
+			delete(out, key)
+		} else {
+			out[key] = v
+		}
+		return out
+	}
+	bad("a submission without a field", http.StatusBadRequest, "POST", "/work", with([]string{"owner", "pieces", "bundle", "expectS", "shape"}[c.intn(5)], nil))
+	bad("a submission that is no object", http.StatusBadRequest, "POST", "/work", []int{1})
+	bad("a task that fits no machine", http.StatusUnprocessableEntity, "POST", "/work", with("accelerators", 5.0))
+	bad("an unknown team", http.StatusUnprocessableEntity, "POST", "/work", with("owner", "nobody"))
+	bad("a question about a job that nobody submitted", http.StatusNotFound, "GET", "/work/"+id, nil)
+	bad("a cancellation of a job that nobody submitted", http.StatusNotFound, "POST", "/work/"+id+"/cancel", nil)
+}
+
+// follow asks for a job every few seconds until it is over.
+func (c *crowd) follow(id string) {
+	c.wait.Go(func() {
+		for c.ctx.Err() == nil {
+			c.rest(c.span(2*time.Second, 5*time.Second))
+			if _, st := c.poll(c.intn(c.s.layout.nodes), id); st == intake.Done || st == intake.Aborted {
+				return
+			}
+		}
+	})
+}
+
+// later does something after a while, beside what else goes on.
+func (c *crowd) later(d time.Duration, f func()) {
+	c.wait.Go(func() {
+		c.rest(d)
+		if c.ctx.Err() == nil {
+			f()
+		}
+	})
+}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // Network connects hosts within one process over pipes, so that a test's fake
@@ -21,6 +22,7 @@
 // open, as when a process is killed.
 type Host struct {
 	net   *Network
+	name  string
 	mu    sync.Mutex
 	conns map[net.Conn]string // by the address dialled; empty for accepted ones
 	lists []*listener
@@ -29,11 +31,13 @@
 	limit int           // most connections open at once; 0: any number
 	most  int           // the most that were open
 	still chan struct{} // closed when the host goes on; nil while it does
+	// delay draws how long a packet that the host sends is on its way.
+	delay func() time.Duration
 }
 
-// Host adds a host.
-func (n *Network) Host() *Host {
-	return &Host{net: n, conns: make(map[net.Conn]string), cut: make(map[string]bool)}
+// Host adds a host. Those that it calls see its name as the caller's address.
+func (n *Network) Host(name string) *Host {
+	return &Host{net: n, name: name, conns: make(map[net.Conn]string), cut: make(map[string]bool)}
 }
 
 var errRefused = errors.New("connection refused")
@@ -101,7 +105,7 @@
 		return nil, errRefused
 	}
 	a, b := net.Pipe()
-	a, b = &end{Conn: a, host: h}, &end{Conn: b, host: l.host}
+	a, b = &end{Conn: a, host: h, peer: l.host.name}, &end{Conn: b, host: l.host, peer: h.name}
 	if !h.keep(a, addr) || !l.host.keep(b, "") {
 		a.Close()
 		b.Close()
@@ -174,8 +178,12 @@
 type end struct {
 	net.Conn
 	host *Host
+	peer string
 }
 
+// RemoteAddr names the host at the other end.
+func (e *end) RemoteAddr() net.Addr { return address(e.peer) }
+
 // Read reads what has come in.
 func (e *end) Read(b []byte) (int, error) {
 	n, err := e.Conn.Read(b)
@@ -186,9 +194,23 @@
 // Write sends.
 func (e *end) Write(b []byte) (int, error) {
 	e.host.stand()
+	e.host.mu.Lock()
+	delay := e.host.delay
+	e.host.mu.Unlock()
+	if delay != nil {
+		time.Sleep(delay())
+	}
 	return e.Conn.Write(b)
 }
 
+// Delay has each packet that the host sends take as long as is drawn; nil: no
+// time at all.
+func (h *Host) Delay(draw func() time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.delay = draw
+}
+
 // Close ends the connection.
 func (e *end) Close() error {
 	e.host.mu.Lock()
