--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -15,6 +15,7 @@
 	"thornnotch/internal/config"
 	"thornnotch/internal/ledger"
 	"thornnotch/internal/tuning"
+	"thornnotch/internal/vouch"
 )
 
 // Store is what the users' interface needs of the state service.
@@ -41,9 +42,11 @@
 	ready    func() bool
 	log      *slog.Logger
 	finals   *lru.Cache[string, Final]
-	mirror   *mirror
-	asks     chan ask
-	conds    int // conditions that one transaction takes
+	// cancelled is what this process can vouch for.
+	cancelled *vouch.Memory
+	mirror    *mirror
+	asks      chan ask
+	conds     int // conditions that one transaction takes
 	// submits has a place for each submission under way.
 	submits chan struct{}
 }
@@ -55,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals,
+	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals, cancelled: vouch.NewMemory(tuning.VouchMost, time.Now()),
 		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(txnOps, 1),
 		submits: make(chan struct{}, max(submits, 1))}, nil
 }
@@ -231,10 +234,25 @@
 	if err := json.Unmarshal(row.V, &f); err != nil {
 		return State{}, false, err
 	}
-	s.finals.Add(id, f)
+	s.settle(id, f)
 	return finalState(id, f), true, nil
 }
 
+// settle remembers a job's final state. Whatever tells a user of it comes after:
+// this process vouches for what it has told.
+func (s *Server) settle(id string, f Final) {
+	if f.Status == Aborted {
+		s.cancelled.Note(id, time.Now())
+	}
+	s.finals.Add(id, f)
+}
+
+// Vouch names the jobs that this process has told users, within so long a time,
+// are cancelled, and maybe some more that are. It reports false when it can't say.
+func (s *Server) Vouch(span time.Duration) (ids []string, ok bool) {
+	return s.cancelled.Within(span, time.Now())
+}
+
 func finalState(id string, f Final) State {
 	done, running := 0, 0
 	if f.Status == Done {
@@ -301,7 +319,7 @@
 		var conflict *ledger.Conflict
 		switch {
 		case err == nil:
-			s.finals.Add(id, f)
+			s.settle(id, f)
 			s.mirror.forget(id, 0)
 			WriteJSON(w, http.StatusOK, State{NameID: id, Status: Aborted})
 			return
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -315,3 +315,65 @@
 		}
 	})
 }
+
+// watcher looks at what the process vouches for at the moment of an answer.
+type watcher struct {
+	*httptest.ResponseRecorder
+	at func()
+}
+
+func (w watcher) WriteHeader(status int) {
+	w.at()
+	w.ResponseRecorder.WriteHeader(status)
+}
+
+// TestNotedBeforeTold: by whichever way a user learns that a job is cancelled, the
+// process vouches for it by then.
+func TestNotedBeforeTold(t *testing.T) {
+	for _, way := range []string{"cancels", "cancels again", "asks", "submits again"} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &memory{rows: map[string]ledger.Row{}}
+			types := []MachineType{{SKU: "g8", VCPUs: 96, Accelerators: 8, RAMGB: 768, Halls: []string{"a"}}}
+			node := func() (*Server, *http.ServeMux) {
+				s, err := NewServer(store, []config.Team{{Name: "vision", GPUsMax: 16}}, 12, 4, func() []MachineType { return types }, nil,
+					func() bool { return true }, slog.New(slog.DiscardHandler))
+				if err != nil {
+					t.Fatal(err)
+				}
+				mux := http.NewServeMux()
+				s.Register(mux)
+				return s, mux
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			s, mux := node()
+			go func() { _ = s.Polls(ctx) }()
+			job := goodJob
+			mux.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/work", strings.NewReader(job)))
+			req := httptest.NewRequest("POST", "/work/j-000412/cancel", nil)
+			if way != "cancels" {
+				_, other := node() // has it cancelled, and this one learns of it
+				other.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/work/j-000412/cancel", nil))
+			}
+			switch way {
+			case "asks":
+				req = httptest.NewRequest("GET", "/work/j-000412", nil)
+			case "submits again":
+				req = httptest.NewRequest("POST", "/work", strings.NewReader(job))
+			}
+			time.Sleep(10 * time.Second)
+			told := false
+			w := watcher{httptest.NewRecorder(), func() {
+				ids, ok := s.Vouch(5 * time.Second)
+				told = ok && len(ids) == 1 && ids[0] == "j-000412"
+			}}
+			mux.ServeHTTP(w, req)
+			if w.Code != http.StatusOK || !strings.Contains(w.Body.String(), Aborted) {
+				t.Fatalf("%s: %d %s", way, w.Code, w.Body)
+			}
+			if !told {
+				t.Errorf("a user who %s is told of what the process does not vouch for", way)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/leader/gap_test.go
@@ -0,0 +1,206 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/fleet"
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/term"
+	"thornnotch/internal/tuning"
+)
+
+// TestGapBound: the state service refuses a leader at W, and from then on another
+// node confirms cancellations. Whatever the reports' ways take, however late the
+// leader gets to look at them, and by whichever clocks, the tasks are off the last
+// machine within cancel_s of the first confirmation. Leaving out any term of
+// certaintyOf makes this fail.
+func TestGapBound(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			l := testLeader(t)
+			w := l.d.Settings.Params.Workers
+			lease, cancel := config.Seconds(w.LeaseS), config.Seconds(w.CancelS)
+			start := time.Now()
+			l.watched, l.sure = start, start
+			told := start.Add(time.Duration(rng.IntN(2)) * time.Duration(rng.Int64N(int64(2*time.Second))))
+			renewed, answers := start, 0
+			for tick := uint64(1); time.Since(start) < cancel; tick++ {
+				pause := time.Duration(rng.Int64N(int64(config.Seconds(w.ReportS) * 5 / 4)))
+				// Just before the bound reports come thick and fast.
+				if left := l.certainty - time.Since(start); left > 0 && left < 3*time.Second {
+					pause = min(pause, max(left/2, time.Millisecond))
+				}
+				time.Sleep(pause)
+				sent := time.Now()
+				if rng.IntN(3) == 0 { // held back on its way, or in the leader's own socket
+					time.Sleep(time.Duration(rng.Int64N(int64(3 * time.Second))))
+				}
+				ch := make(chan Reply, 1)
+				l.hello(&fleet.Report{Rig: "m-1", RigType: "g4", Hall: "east", Shift: 1, Tick: tick, Warrant: l.grant.Term}, time.Now(), ch)
+				if rng.IntN(3) == 0 { // the answer is held back, too
+					time.Sleep(time.Duration(rng.Int64N(int64(2 * time.Second))))
+				}
+				l.nextFlush = time.Time{}
+				l.flush(time.Now().Add(tuning.IdleHold))
+				if a := <-ch; a.Status == 200 {
+					renewed = sent
+					answers++
+				}
+			}
+			slow := func(d time.Duration) time.Duration { return d + time.Duration(float64(d)*tuning.ClockDrift) }
+			fast := func(d time.Duration) time.Duration { return d - time.Duration(float64(d)*tuning.ClockDrift) }
+			gone := renewed.Add(slow(lease) + tuning.WorkerLag)
+			if limit := told.Add(fast(cancel)); gone.After(limit) {
+				t.Fatalf("seed %d: gone %v too late", seed, gone.Sub(limit))
+			}
+			if answers < 5 {
+				t.Fatalf("seed %d: %d reports answered", seed, answers)
+			}
+		})
+	}
+}
+
+// slowWatch is a state service whose watch answers after a while.
+type slowWatch struct {
+	Store
+	takes time.Duration
+	asked chan time.Time
+}
+
+func (s slowWatch) Follow(ctx context.Context, _ string, from uint64, _ time.Duration) (uint64, []ledger.Change, error) {
+	s.asked <- time.Now()
+	time.Sleep(s.takes)
+	return from, nil, ctx.Err()
+}
+
+// TestWatchProvesWhatWasBeforeTheQuestion: an answer that was long on its way
+// proves nothing of what happened meanwhile.
+func TestWatchProvesWhatWasBeforeTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLeader(t)
+		asked := make(chan time.Time, 10)
+		l.d.Store = slowWatch{takes: 3 * time.Second, asked: asked}
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = l.follow(ctx, 1) }()
+		for range 3 {
+			first := <-asked
+			(<-l.calls)()
+			if !l.watched.Equal(first) || !l.sure.Equal(first) {
+				t.Errorf("asked at %v, sure up to %v", first, l.sure)
+			}
+		}
+		stop()
+		time.Sleep(4 * time.Second)
+	})
+}
+
+// TestVouchedCancellations: what all nodes vouch for makes the leader certain up to
+// when it asked, and ends what they name; what came too late proves nothing.
+func TestVouchedCancellations(t *testing.T) {
+	now := time.Now()
+	l := testLeader(t)
+	l.watched, l.sure = now.Add(-time.Minute), now.Add(-time.Minute)
+	j := addJob(t, l, sweep("j-1", 1), now)
+	l.vouched([]string{"j-1"}, now.Add(-tuning.VouchLate-time.Second), now)
+	if j.gone || l.sure.After(now.Add(-time.Minute)) {
+		t.Errorf("late words are taken: gone %v, sure %v", j.gone, now.Sub(l.sure))
+	}
+	asked := now.Add(-tuning.VouchLate / 2)
+	l.vouched([]string{"j-1", "j-2"}, asked, now)
+	if !j.gone || !l.sure.Equal(asked) {
+		t.Errorf("gone %v, sure %v", j.gone, now.Sub(l.sure))
+	}
+	l.jobGone("j-1", now) // the watch tells it too, later
+	if len(l.finished) != 0 {
+		t.Errorf("remembered for ever: %v", l.finished)
+	}
+}
+
+// raised is a state service where another node has raised the term, and has not
+// written to the log yet.
+type raised struct {
+	Store
+	wrote int
+}
+
+func (s *raised) Multi(_ context.Context, _ ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error) {
+	for _, c := range when {
+		if c.K == term.NumberKey {
+			return 0, &ledger.Conflict{Failed: []string{c.K}} // its revision has changed
+		}
+	}
+	s.wrote += len(writes)
+	return 99, nil
+}
+
+// TestDeposedLeaderWritesNothing: what a deposed leader sends is refused also while
+// its successor, which has read the log, has not begun to write: the log's head
+// alone would let it through, and the successor would not know of the attempt.
+func TestDeposedLeaderWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		l := testLeader(t)
+		store := &raised{}
+		l.d.Store = store
+		group, ctx := errgroup.WithContext(t.Context())
+		l.ctx, l.tasks = ctx, group
+		addRig(l, "m-1", "east", now)
+		addJob(t, l, sweep("j-1", 1), now)
+		l.pass(now)
+		l.commit(now.Add(time.Second))
+		(<-l.calls)()
+		if store.wrote != 0 || !errors.Is(l.ended, errDeposed) {
+			t.Errorf("%d writes, ended %v", store.wrote, l.ended)
+		}
+		_ = group.Wait()
+	})
+}
+
+// direct is workers that note what goes straight to them.
+type direct struct{ orders chan []fleet.Order }
+
+func (d direct) Command(_ context.Context, _ string, a fleet.Answer) (*fleet.Report, error) {
+	d.orders <- a.Orders
+	return nil, context.Canceled
+}
+
+// TestOnlyStopsGoStraight: a direct order may be held up for minutes and is carried
+// out all the same, so it starts nothing, and forgets nothing.
+func TestOnlyStopsGoStraight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		l := testLeader(t)
+		d := direct{make(chan []fleet.Order, 1)}
+		l.d.Workers = d
+		group, ctx := errgroup.WithContext(t.Context())
+		l.ctx, l.tasks = ctx, group
+		r := addRig(l, "m-1", "east", now)
+		r.m.Endpoint = "m-1:1"
+		j := addJob(t, l, sweep("j-1", 3), now)
+		l.pass(now)
+		for _, s := range sortedSeats(j) {
+			s.a.Committed, s.a.Cleared = true, true
+		}
+		if n := len(r.m.Orders(true, now)); n != 3 {
+			t.Fatalf("%d starts", n)
+		}
+		seats := sortedSeats(j)
+		seats[0].a.Halt, seats[0].a.HaltAt = true, now // to be stopped
+		seats[1].a.Status, seats[1].a.Settled = fleet.Exited, true
+		l.press(r, now)
+		(<-l.calls)()
+		if got := <-d.orders; len(got) != 1 || got[0].Verb != fleet.Stop {
+			t.Errorf("straight to the worker went %+v", got)
+		}
+		_ = group.Wait()
+	})
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -56,6 +56,9 @@
 	Workers  Workers
 	// Catalog gives the newest catalog, or nil while none is known.
 	Catalog func() *market.Catalog
+	// Vouch asks all nodes for the cancellations that they know of; nil: the
+	// watch alone counts.
+	Vouch Vouch
 	// Drawn tells what this node's calls of a class have drawn; may be nil.
 	Drawn func(ledger.Class) ledger.Drawn
 	Log   *slog.Logger
@@ -81,35 +84,37 @@
 
 	// takeover is how far the takeover has come, for operators; empty once it
 	// is over. It is read by others.
-	takeover    atomic.Pointer[string]
-	ended       error
-	loaded      bool
-	sure        time.Time // when every cancellation was last certainly known
-	jobs        map[string]*job
-	pipelines   map[placement.Pipeline][]*job
-	rigs        map[string]*rig
-	ordered     []*rig                    // all of rigs by name; nil when it must be made anew
-	use         map[string]placement.Room // what the teams' attempts and holds take, as the views show it
-	waiters     map[*rig]bool             // machines whose report waits for its answer
-	woken       []*rig                    // of these, those that orders have come up for
-	lazies      map[*rig]bool             // machines whose hints are to be recorded
-	nextFlush   time.Time
-	passTook    time.Duration
-	legacy      map[string]uint64 // keys of the earlier format, with their revision
-	counts      counts
-	counted     counts // as they were logged last
-	lastLoad    time.Time
-	drawn       map[ledger.Class]ledger.Drawn // as it was logged last
-	teams       []config.Team
-	book        *reserve.Book
-	tries       uint64
-	commanding  int  // direct orders under way
-	dirty       bool // a placement pass is due
-	lastPass    time.Time
-	lastSummary time.Time
-	committer   committer
-	market      marketState
-	certainty   time.Duration
+	takeover atomic.Pointer[string]
+	ended    error
+	loaded   bool
+	// watched is the latest moment up to which the state service has told of all
+	// cancellations; sure is the same, or later by what all nodes vouch for.
+	watched, sure time.Time
+	jobs          map[string]*job
+	pipelines     map[placement.Pipeline][]*job
+	rigs          map[string]*rig
+	ordered       []*rig                    // all of rigs by name; nil when it must be made anew
+	use           map[string]placement.Room // what the teams' attempts and holds take, as the views show it
+	waiters       map[*rig]bool             // machines whose report waits for its answer
+	woken         []*rig                    // of these, those that orders have come up for
+	lazies        map[*rig]bool             // machines whose hints are to be recorded
+	nextFlush     time.Time
+	passTook      time.Duration
+	legacy        map[string]uint64 // keys of the earlier format, with their revision
+	counts        counts
+	counted       counts // as they were logged last
+	lastLoad      time.Time
+	drawn         map[ledger.Class]ledger.Drawn // as it was logged last
+	teams         []config.Team
+	book          *reserve.Book
+	tries         uint64
+	commanding    int  // direct orders under way
+	dirty         bool // a placement pass is due
+	lastPass      time.Time
+	lastSummary   time.Time
+	committer     committer
+	market        marketState
+	certainty     time.Duration
 	// beat is when the routine last went round. wokeAt is when it last went on
 	// after it had stood still, and unproven is set from then on until the
 	// state service has said that the term still lasts.
@@ -136,7 +141,7 @@
 		jobs: make(map[string]*job), rigs: make(map[string]*rig), teams: d.Settings.Params.Teams,
 		book: reserve.New(reserve.Options{Enabled: d.Operator.Holds.Enabled, Alpha: d.Operator.Holds.Alpha,
 			P: d.Operator.Holds.P, Threshold: d.Operator.Holds.Threshold}),
-		certainty: max(config.Seconds(w.CancelS-w.LeaseS)-tuning.CertaintyMargin, time.Second),
+		certainty: certaintyOf(w),
 		finished:  make(map[string]bool),
 		ghosts:    make(map[string]*ghost),
 		arrivals:  make(map[string]float64),
@@ -153,6 +158,19 @@
 	return l
 }
 
+// certaintyOf is for how long after the last moment W up to which all cancellations
+// are known workers may be answered. A job whose user was told at C was recorded
+// after W, so C ≥ W. The last report answered 200 is looked at by W + certainty,
+// and its worker counts its lease from when it sent it, which was earlier. So its
+// tasks are gone by W + certainty + lease·(1+drift) + lag, however long the report
+// or the answer were on their way, and that must be no later than
+// W + cancel·(1−drift) (TestGapBound).
+func certaintyOf(w config.Workers) time.Duration {
+	cancel, lease := config.Seconds(w.CancelS), config.Seconds(w.LeaseS)
+	drift := time.Duration(float64(cancel+lease) * tuning.ClockDrift)
+	return max(cancel-lease-drift-tuning.WorkerLag, time.Second)
+}
+
 // do runs f on the leader's routine. It reports false once the term is over.
 func (l *Leader) do(ctx context.Context, f func()) bool {
 	select {
@@ -177,6 +195,9 @@
 	l.wokeAt, l.unproven = time.Now(), true
 	l.prove()
 	group.Go(func() error { return l.follow(ctx, epoch) })
+	if l.d.Vouch != nil {
+		group.Go(func() error { return l.askAll(ctx) })
+	}
 	group.Go(func() error { return l.loop(ctx) })
 	return group.Wait()
 }
@@ -412,7 +433,7 @@
 		asked := time.Now()
 		rows, epoch, err := l.d.Store.List(ctx, ledger.Lease, prefix)
 		if prefix == intake.OpenPrefix {
-			l.sure = asked
+			l.watched, l.sure = asked, asked
 		}
 		if err == nil || ctx.Err() != nil {
 			return rows, epoch, err
@@ -446,7 +467,10 @@
 		l.do(ctx, func() {
 			now := time.Now()
 			// The answer holds all changes up to a moment after the question.
-			l.sure = asked
+			l.watched = asked
+			if asked.After(l.sure) {
+				l.sure = asked
+			}
 			for _, c := range log {
 				if c.Remove != "" {
 					l.jobGone(c.Remove[len(intake.OpenPrefix):], now)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,5 +1,6 @@
-// Package mesh is what the nodes tell one another, over net/rpc. Nothing on
-// it is needed for safety: a node that can't be reached proves nothing.
+// Package mesh is what the nodes tell one another, over net/rpc. A node that
+// can't be reached proves nothing. Safety rests on it in one place alone: on what
+// nodes vouch for while the state service does not answer.
 package mesh
 
 import (
@@ -43,8 +44,20 @@
 	Body       []byte
 }
 
+// VouchArgs asks a node which cancellations it has told users of within a time.
+type VouchArgs struct{ SpanMS int64 }
+
+// VouchReply is the answer. Without OK the node can't say.
+type VouchReply struct {
+	OK        bool
+	Cancelled []string
+}
+
 // Source answers for the local node.
 type Source interface {
+	// Vouch names the jobs that this process has told users, within so long a
+	// time, are cancelled; false if it can't say.
+	Vouch(span time.Duration) (cancelled []string, ok bool)
 	// Healthy tells whether the state service answers this node.
 	Healthy() bool
 	// Relay serves a user's request that came in at another node.
@@ -77,6 +90,12 @@
 	return nil
 }
 
+// Vouch answers another node.
+func (s *service) Vouch(args VouchArgs, reply *VouchReply) error {
+	reply.Cancelled, reply.OK = s.src.Vouch(time.Duration(args.SpanMS) * time.Millisecond)
+	return nil
+}
+
 // Relay answers another node.
 func (s *service) Relay(args RelayArgs, reply *RelayReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.RelayTimeout)
@@ -149,17 +168,25 @@
 	addrs map[string]string
 	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 	mu    sync.Mutex
-	open  map[string]*rpc.Client
+	open  map[string]*client
+}
+
+// client is a connection to a node. One call at a time is written to it, for
+// which others wait no longer than they may: rpc.Client would have them wait for
+// as long as the write takes, on a connection that nobody reads for ever.
+type client struct {
+	*rpc.Client
+	writing chan struct{}
 }
 
 // NewPeers makes a caller of the nodes at these addresses, by label.
 func NewPeers(addrs map[string]string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Peers {
-	return &Peers{addrs: addrs, dial: dial, open: make(map[string]*rpc.Client)}
+	return &Peers{addrs: addrs, dial: dial, open: make(map[string]*client)}
 }
 
 var errNoPeer = errors.New("mesh: no such node")
 
-func (p *Peers) client(ctx context.Context, label string) (*rpc.Client, error) {
+func (p *Peers) client(ctx context.Context, label string) (*client, error) {
 	p.mu.Lock()
 	c := p.open[label]
 	p.mu.Unlock()
@@ -174,7 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c = rpc.NewClient(conn)
+	c = &client{rpc.NewClient(conn), make(chan struct{}, 1)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.open[label]; old != nil {
@@ -185,7 +212,7 @@
 	return c, nil
 }
 
-func (p *Peers) drop(label string, c *rpc.Client) {
+func (p *Peers) drop(label string, c *client) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open[label] == c {
@@ -204,7 +231,15 @@
 		return err
 	}
 	select {
-	case done := <-c.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
+	case c.writing <- struct{}{}:
+	case <-ctx.Done():
+		p.drop(label, c)
+		return ctx.Err()
+	}
+	sent := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	<-c.writing
+	select {
+	case done := <-sent.Done:
 		var remote rpc.ServerError
 		if done.Error != nil && !errors.As(done.Error, &remote) {
 			p.drop(label, c)
@@ -243,6 +278,17 @@
 	return reply.OK, nil
 }
 
+// Vouch asks a node which cancellations it has told users of within a time.
+func (p *Peers) Vouch(ctx context.Context, label string, span time.Duration) (cancelled []string, ok bool) {
+	reply := new(VouchReply)
+	// Rounded up: never less than was asked for.
+	args := VouchArgs{SpanMS: span.Milliseconds() + 1}
+	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Vouch", args, reply); err != nil {
+		return nil, false
+	}
+	return reply.Cancelled, reply.OK
+}
+
 // Relay has a node serve a user's request.
 func (p *Peers) Relay(ctx context.Context, label string, req RelayArgs) (RelayReply, error) {
 	reply := new(RelayReply)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -5,10 +5,12 @@
 	"net"
 	"net/rpc"
 	"testing"
+	"time"
 )
 
 type source struct{}
 
+func (source) Vouch(time.Duration) ([]string, bool)                { return nil, true }
 func (source) Healthy() bool                                       { return true }
 func (source) Relay(context.Context, RelayArgs) RelayReply         { return RelayReply{} }
 func (source) Progress(context.Context, []string) map[string]Count { return nil }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 	helpers atomic.Pointer[[]string]
 	lonely  atomic.Bool
 	users   http.Handler
+	intake  atomic.Pointer[intake.Server]
 	sockets *sockets
 }
 
@@ -119,6 +120,7 @@
 	if err != nil {
 		return err
 	}
+	n.intake.Store(users)
 	own := http.NewServeMux()
 	users.Register(own)
 	n.users = own
@@ -185,7 +187,7 @@
 func (n *Node) lead(ctx context.Context, g term.Grant) error {
 	l := leader.New(leader.Deps{
 		Settings: n.set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(n.net.DialContext),
-		Catalog: n.catalog.Load, Drawn: n.store.Budget.Drawn, Log: n.log,
+		Catalog: n.catalog.Load, Drawn: n.store.Budget.Drawn, Vouch: n.allVouch, Log: n.log,
 	}, g)
 	n.store.Budget.SetShare(n.share(true))
 	n.leading.Store(l)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -17,10 +17,24 @@
 	// not, renews the leader's certainty of knowing all cancellations, so it
 	// must be short against cancel_s; one request a second is cheap.
 	WatchBlock = 1000 * time.Millisecond
-	// CertaintyMargin is kept back from cancel_s − lease_s before a leader
-	// that can't see cancellations stops answering workers. It covers the
-	// stop order's way to the worker and the clocks' drift.
-	CertaintyMargin = 4 * time.Second
+	// WorkerLag is how long after its lease's end a worker may still have its
+	// tasks: its timers may be late, and killing them takes a moment.
+	WorkerLag = 4 * time.Second
+	// VouchEvery is the step in which a leader whose watch is not answered asks the
+	// other nodes which cancellations they know of; VouchAfter is how old the
+	// watch's last proof must be for that. Both are short against the least time
+	// for which a leader is certain without.
+	VouchEvery = 1000 * time.Millisecond
+	VouchAfter = 3 * time.Second
+	// VouchMargin is how much further back than the watch's last proof the nodes
+	// must vouch, and VouchLate how old the question may be when the answer is
+	// taken in: the answer counts back from when it was given, which is later
+	// than it was asked for.
+	VouchMargin = 2 * time.Second
+	VouchLate   = 1500 * time.Millisecond
+	// VouchMost is how many cancellations a node remembers to vouch for; some
+	// hours' worth, 64 bytes each.
+	VouchMost = 8192
 	// ClockDrift is the largest relative difference between two steady
 	// clocks: the protocol's 0.05 % on each side, doubled for safety.
 	ClockDrift = 0.002
--- /dev/null
+++ b/internal/vouch/main_test.go
@@ -0,0 +1,10 @@
+package vouch
+
+import (
+	"os"
+	"testing"
+
+	"thornnotch/internal/seeded"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m, 2000)) }
--- /dev/null
+++ b/internal/vouch/vouch.go
@@ -0,0 +1,96 @@
+// Package vouch lets the nodes prove to a leader, without the state service, which
+// cancellations users have been told of.
+//
+// What a leader knows of cancellations comes from its watch on the state service.
+// While that is not answered another node may have confirmed some, as the service
+// may refuse this node alone; so workers must be let go in time, and in an outage
+// that ends the work of the whole fleet although nobody can cancel anything. But
+// a user is told by a process of some node. If the processes of all nodes name what
+// they have told since the watch's last proof, nothing is missing. The argument,
+// with all its conditions, is in docs/design.md (Safety, "The gap").
+package vouch
+
+import (
+	"sync"
+	"time"
+
+	"thornnotch/internal/tuning"
+)
+
+// Memory is what a process knows to be cancelled. A job is noted before any user
+// is told, so what is not in it nobody was told here.
+type Memory struct {
+	mu sync.Mutex
+	// from is since when nothing is missing: the start of the process, or when
+	// the newest entry that was dropped was noted.
+	from time.Time
+	list []entry // in the order of their times
+	most int
+}
+
+type entry struct {
+	id string
+	at time.Time
+}
+
+// NewMemory makes the memory of a process that begins now.
+func NewMemory(most int, now time.Time) *Memory { return &Memory{from: now, most: most} }
+
+// Note adds a job.
+func (m *Memory) Note(id string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.list) >= m.most {
+		drop := max(1, m.most/4)
+		m.from = m.list[drop-1].at
+		m.list = append([]entry(nil), m.list[drop:]...)
+	}
+	m.list = append(m.list, entry{id, now})
+}
+
+// Within names the jobs noted in so long a time before now. It reports false when
+// some may be missing: the process is younger, or has forgotten some.
+func (m *Memory) Within(span time.Duration, now time.Time) (ids []string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := now.Add(-span)
+	if !m.from.Before(from) {
+		return nil, false
+	}
+	for i := len(m.list) - 1; i >= 0 && !m.list[i].at.Before(from); i-- {
+		ids = append(ids, m.list[i].id)
+	}
+	return ids, true
+}
+
+// Span is for how long the nodes must vouch to reach back to the watch's last
+// proof, by their clocks and counted from when they answer.
+func Span(asked, watched time.Time) time.Duration {
+	return time.Duration(float64(asked.Sub(watched))*(1+tuning.ClockDrift)) + tuning.VouchMargin
+}
+
+// Late tells whether answers come too long after the question: they may reach
+// back less far than was asked for.
+func Late(asked, now time.Time) bool { return now.Sub(asked) > tuning.VouchLate }
+
+// Word is what one node answers; not OK if it can't say, or does not answer.
+type Word struct {
+	Cancelled []string
+	OK        bool
+}
+
+// Unanimous puts together what the nodes vouch for, if it is all of them: one that
+// is silent, or has begun anew meanwhile, may have told users of what nobody else
+// knows.
+func Unanimous(words []Word, nodes int) (cancelled []string, ok bool) {
+	if len(words) < nodes {
+		return nil, false
+	}
+	for _, w := range words {
+		if !w.OK {
+			return nil, false
+		}
+		cancelled = append(cancelled, w.Cancelled...)
+	}
+	return cancelled, true
+}
