--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -205,7 +205,7 @@
 		later(w, "the job can't be recorded now")
 		return
 	}
-	epoch, err := s.store.Multi(ctx, ledger.Submit,
+	epoch, err := s.multi(ctx, ledger.Submit,
 		[]ledger.Cond{{K: OpenPrefix + j.NameID}, {K: FinalPrefix + j.NameID}}, []ledger.Write{write})
 	var conflict *ledger.Conflict
 	switch {
@@ -230,6 +230,20 @@
 	}
 }
 
+// multi runs a user's transaction. One without an answer may have been carried out, or
+// may be yet, so it is sent again as it was: its conditions on the job's records let
+// just one of them be carried out. Without that its user would come back after a
+// second or more.
+func (s *Server) multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (epoch uint64, err error) {
+	for range tuning.UserTries {
+		epoch, err = s.store.Multi(ctx, class, when, writes)
+		if !errors.Is(err, ledger.ErrUnknown) || ctx.Err() != nil {
+			break
+		}
+	}
+	return epoch, err
+}
+
 // look reads a job's state: open first, then final, so that a job that moves
 // between both is never missed.
 func (s *Server) look(ctx context.Context, id string, class ledger.Class) (State, bool, error) {
@@ -358,7 +372,7 @@
 		if err != nil {
 			break
 		}
-		_, err = s.store.Multi(ctx, ledger.Cancel, []ledger.Cond{{K: OpenPrefix + id, Stamp: row.Stamp}},
+		_, err = s.multi(ctx, ledger.Cancel, []ledger.Cond{{K: OpenPrefix + id, Stamp: row.Stamp}},
 			[]ledger.Write{{Remove: OpenPrefix + id}, {Set: FinalPrefix + id, V: value}})
 		var conflict *ledger.Conflict
 		switch {
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -17,6 +17,7 @@
 
 	"thornnotch/internal/config"
 	"thornnotch/internal/ledger"
+	"thornnotch/internal/tuning"
 )
 
 // memory is a state service in a map; down makes it answer 503.
@@ -377,3 +378,92 @@
 		})
 	}
 }
+
+// lossy is a state service that carries transactions out and loses their answers, or
+// carries them out later.
+type lossy struct {
+	*memory
+	fate func() string
+	late []func()
+}
+
+func (l *lossy) Multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error) {
+	switch l.fate() {
+	case "lost":
+		_, _ = l.memory.Multi(ctx, class, when, writes)
+		return 0, ledger.ErrUnknown
+	case "late":
+		l.late = append(l.late, func() { _, _ = l.memory.Multi(ctx, class, when, writes) })
+		return 0, ledger.ErrUnknown
+	}
+	return l.memory.Multi(ctx, class, when, writes)
+}
+
+// TestUnansweredIsSentAgain: a user's transaction whose answer is lost, or that is
+// carried out late, is sent again at once. The user is answered, what was answered
+// holds, and what comes late changes nothing.
+func TestUnansweredIsSentAgain(t *testing.T) {
+	types := []MachineType{{SKU: "g8", VCPUs: 96, Accelerators: 8, RAMGB: 768, Halls: []string{"a"}}}
+	good := string(change(t, func(map[string]any) {}))
+	rapid.Check(t, func(t *rapid.T) {
+		fates := rapid.SliceOfN(rapid.SampledFrom([]string{"", "", "lost", "late"}), 0, 12).Draw(t, "fates")
+		store := &lossy{memory: &memory{rows: map[string]ledger.Row{}}, fate: func() string {
+			if len(fates) == 0 {
+				return ""
+			}
+			f := fates[0]
+			fates = fates[1:]
+			return f
+		}}
+		s, err := NewServer(store, []config.Team{{Name: "vision", GPUsMax: 16}}, config.State{TxnOps: 12, ValueKB: 16}, 4, func() []MachineType { return types },
+			allRunning, func() bool { return true }, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		mux := http.NewServeMux()
+		s.Register(mux)
+		// try asks until there is an answer, and tells how often that was.
+		try := func(method, path, body string) (code int, said string, n int) {
+			for n = 1; ; n++ {
+				unanswered := 0
+				for _, f := range fates {
+					if f == "" {
+						break
+					}
+					unanswered++
+				}
+				w := httptest.NewRecorder()
+				mux.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+				if w.Code != http.StatusServiceUnavailable {
+					return w.Code, w.Body.String(), n
+				}
+				if unanswered < tuning.UserTries {
+					t.Fatalf("%s: 503 after %d without an answer", path, unanswered)
+				}
+			}
+		}
+		if code, said, _ := try("POST", "/work", good); code != http.StatusCreated && code != http.StatusOK || !strings.Contains(said, "j-000412") || strings.Contains(said, Aborted) {
+			t.Fatalf("submission: %d %s", code, said)
+		}
+		id := "j-000412"
+		record := store.rows[OpenPrefix+id]
+		some := func() {
+			for _, f := range store.late {
+				if rapid.Bool().Draw(t, "arrives") {
+					f()
+				}
+			}
+		}
+		some()
+		if got := store.rows[OpenPrefix+id]; record.Stamp == 0 || got.Stamp != record.Stamp {
+			t.Fatalf("accepted at %d, stands at %d", record.Stamp, got.Stamp)
+		}
+		if code, said, _ := try("POST", "/work/"+id+"/cancel", ""); code != http.StatusOK || !strings.Contains(said, Aborted) {
+			t.Fatalf("cancellation: %d %s", code, said)
+		}
+		some()
+		if _, open := store.rows[OpenPrefix+id]; open || !strings.Contains(string(store.rows[FinalPrefix+id].V), Aborted) {
+			t.Fatalf("after the cancellation: open %v, %s", open, store.rows[FinalPrefix+id].V)
+		}
+	})
+}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -263,7 +263,11 @@
 	var out struct {
 		Epoch uint64 `json:"epoch"`
 	}
-	status, raw, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, "/multi", in, &out)
+	timeout := tuning.StateTimeout
+	if class == Submit || class == Cancel {
+		timeout = tuning.UserTimeout
+	}
+	status, raw, err := c.call(ctx, timeout, http.MethodPost, "/multi", in, &out)
 	switch {
 	case err != nil:
 		return 0, err
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -62,6 +62,12 @@
 	// StateTimeout bounds one ordinary request; answers take a few hundred
 	// milliseconds at worst, and users wait 2 s for a poll.
 	StateTimeout = 1500 * time.Millisecond
+	// UserTimeout bounds one transaction for a user: they wish to be answered within a
+	// second, and one whose answer is lost can be sent once more in that time.
+	UserTimeout = 500 * time.Millisecond
+	// UserTries is how often a user's transaction without an answer is sent, in all
+	// (times).
+	UserTries = 3
 	// DialTimeout bounds a new connection to any other host; the calls over it
 	// have their own, shorter ones.
 	DialTimeout = 4 * time.Second
