Log: a checkpoint has its part of every transaction

Cause: with the fewest changes a transaction that the state service may come to allow (4), entries under steady load left a checkpoint no room until the ring of 1,024 was full; then nothing could start until it stood.

--- a/internal/leader/wal/writer.go
+++ b/internal/leader/wal/writer.go
@@ -210,8 +210,9 @@
 			size += len(x.V) + 200
 		}
 	}
+	entryOps, entryBytes := w.entryShare(ops, size)
 	// The ring must never run into the entries that still count.
-	for ops < w.lim.Ops && size < tuning.TxnBytes && w.Backlog()+len(t.values) < tuning.LogRing-tuning.LogSlack {
+	for ops < entryOps && size < entryBytes && w.Backlog()+len(t.values) < tuning.LogRing-tuning.LogSlack {
 		v, stood := w.take(t.head.Next)
 		if v == nil {
 			break
@@ -224,8 +225,8 @@
 	}
 	if c := w.check; c != nil {
 		many := 1
-		if w.Backlog() > tuning.LogRing/2 {
-			many = 4
+		if w.behind() {
+			many = w.lim.Ops
 		}
 		for i := 0; i < many && ops < w.lim.Ops && size < tuning.TxnBytes && !c.ready; i++ {
 			v := c.next(w.lim.ValueBytes)
@@ -254,6 +255,24 @@
 	return t
 }
 
+// behind tells whether the ring fills up faster than the checkpoint comes on.
+func (w *Writer) behind() bool { return w.Backlog() > tuning.LogRing/2 }
+
+// entryShare is up to how many changes and bytes of a transaction entries may take
+// when so many are taken already. While a checkpoint is written at least one of its
+// parts goes along, and half of what is left when the ring is half full: with few
+// changes a transaction a steady flow of entries would leave it no room until the
+// ring is full, and then nothing could start until it stands.
+func (w *Writer) entryShare(ops, size int) (entryOps, entryBytes int) {
+	switch {
+	case w.check == nil || w.check.ready:
+		return w.lim.Ops, tuning.TxnBytes
+	case w.behind():
+		return ops + max(1, (w.lim.Ops-ops)/2), size + max(1, (tuning.TxnBytes-size)/2)
+	}
+	return max(ops+1, w.lim.Ops-1), tuning.TxnBytes
+}
+
 func (w *Writer) seal(t *Txn) {
 	raw, _ := json.Marshal(t.head) // plain fields always encode
 	t.When = []ledger.Cond{{K: HeadKey, Stamp: w.stamp}}
