Cloud: renting goes on between two pages of the list

The list of 4,000 machines has eight pages. At two calls a second nothing could be rented or returned for more than four of every ten seconds, and a call that failed began the list anew.

--- a/internal/leader/stall_test.go
+++ b/internal/leader/stall_test.go
@@ -33,9 +33,9 @@
 	return nil, market.ErrNoCapacity
 }
 func (c *cloudCalls) Return(context.Context, []string) error { c.returns++; return nil }
-func (c *cloudCalls) List(context.Context) ([]market.Host, error) {
+func (c *cloudCalls) List(context.Context, string) ([]market.Host, string, error) {
 	c.lists++
-	return nil, nil
+	return nil, "", nil
 }
 
 // run carries out what calls to others have handed back. Within a synctest
--- a/internal/leader/trade.go
+++ b/internal/leader/trade.go
@@ -15,10 +15,14 @@
 
 // marketState is what the leader knows of renting.
 type marketState struct {
-	busy    bool
-	hires   uint64
-	listed  time.Time
-	listing bool
+	busy  bool
+	hires uint64
+	// listed is when the last page of the cloud's list came in; listFrom is where
+	// the next page begins while a list is being read, and pagedLast is set if the
+	// last call was for a page.
+	listed    time.Time
+	listFrom  string
+	pagedLast bool
 	// booting are machines rented that have not reported yet.
 	booting map[string]booting
 	refused map[market.Pool]time.Time
@@ -97,12 +101,18 @@
 		l.giveBack(names, now)
 		return
 	}
-	if now.Sub(m.listed) > l.listEvery() {
-		l.list(now)
+	// The list of a large fleet has many pages: renting goes on between two.
+	due := m.listFrom != "" || now.Sub(m.listed) > l.listEvery()
+	if due && !m.pagedLast {
+		l.listPage()
 		return
 	}
 	if req, pool, ok := l.wanted(now); ok {
 		l.rent(req, pool, now)
+		return
+	}
+	if due {
+		l.listPage()
 	}
 }
 
@@ -257,18 +267,22 @@
 	})
 }
 
-func (l *Leader) list(now time.Time) {
+// listPage reads the next page of the cloud's list.
+func (l *Leader) listPage() {
 	m := &l.market
-	m.busy = true
+	m.busy, m.pagedLast = true, true
+	from := m.listFrom
 	l.tasks.Go(func() error {
-		hosts, err := l.d.Cloud.List(l.ctx)
+		hosts, next, err := l.d.Cloud.List(l.ctx, from)
 		l.do(l.ctx, func() {
 			now := time.Now()
 			m.busy = false
 			if l.cloudFailed("list", err, now) {
 				return
 			}
-			m.listed = now
+			if m.listFrom = next; next == "" {
+				m.listed = now
+			}
 			l.listed(hosts, now)
 		})
 		return nil
@@ -329,7 +343,7 @@
 
 func (l *Leader) rent(req market.Request, pool market.Pool, now time.Time) {
 	m := &l.market
-	m.busy = true
+	m.busy, m.pagedLast = true, false
 	m.hires++
 	req.Hire = fmt.Sprintf("r-%d-%d", l.grant.Term, m.hires)
 	l.tasks.Go(func() error {
--- a/internal/market/cloud.go
+++ b/internal/market/cloud.go
@@ -207,26 +207,23 @@
 	return c.call(ctx, http.MethodPost, "/hosts/return", in, nil)
 }
 
-// List reads all rented machines. It lags, and may be older than the last.
-func (c *Cloud) List(ctx context.Context) ([]Host, error) {
-	var all []Host
-	from := ""
-	for {
-		q := url.Values{"limit": {strconv.Itoa(500)}}
-		if from != "" {
-			q.Set("from", from)
-		}
-		var page struct {
-			Rigs    []Host `json:"rigs"`
-			HasNext bool   `json:"hasNext"`
-		}
-		if err := c.call(ctx, http.MethodGet, "/hosts?"+q.Encode(), nil, &page); err != nil {
-			return nil, err
-		}
-		all = append(all, page.Rigs...)
-		if !page.HasNext || len(page.Rigs) == 0 {
-			return all, nil
-		}
-		from = page.Rigs[len(page.Rigs)-1].NameID
+// List reads one page of the rented machines, those after from by name; next is
+// where the following page begins, empty after the last one. The list lags, and may
+// be older than the last.
+func (c *Cloud) List(ctx context.Context, from string) (hosts []Host, next string, err error) {
+	q := url.Values{"limit": {strconv.Itoa(tuning.HostPage)}}
+	if from != "" {
+		q.Set("from", from)
+	}
+	var page struct {
+		Rigs    []Host `json:"rigs"`
+		HasNext bool   `json:"hasNext"`
+	}
+	if err := c.call(ctx, http.MethodGet, "/hosts?"+q.Encode(), nil, &page); err != nil {
+		return nil, "", err
+	}
+	if page.HasNext && len(page.Rigs) > 0 {
+		next = page.Rigs[len(page.Rigs)-1].NameID
 	}
+	return page.Rigs, next, nil
 }
