--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -16,22 +16,35 @@
 	"thornnotch/internal/tuning"
 )
 
+// fleetSizes are the numbers of machines at which growth is recorded.
+var fleetSizes = []int{500, 1000, 2000, 4000, 6000}
+
+// perFleetSize runs a benchmark at each size of the fleet.
+func perFleetSize(b *testing.B, run func(b *testing.B, machines int)) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			b.ReportAllocs()
+			run(b, machines)
+		})
+	}
+}
+
 // grown makes a leader of a large site: so many machines, all busy but a few,
-// and so many jobs waiting.
-func grown(b *testing.B, rigs, jobs int) (*Leader, []*rig) {
+// and a third as many jobs waiting.
+func grown(b testing.TB, machines int) (*Leader, []*rig) {
 	now := time.Now()
 	l := testLeader(b)
-	l.teams = []config.Team{{Name: "a", GPUs: 1000, GPUsMax: 20000}}
+	l.teams = []config.Team{{Name: "a", GPUs: 1000, GPUsMax: 10 * float64(machines)}}
 	l.d.Settings.Params.Teams = l.teams
 	offline(b, l)
 	l.sure = now
 	var list []*rig
-	for i := range rigs {
+	for i := range machines {
 		r := addRig(l, fmt.Sprintf("m-%06d", i), []string{"east", "west"}[i%2], now)
 		r.m.Spot = i%3 == 0
 		list = append(list, r)
 	}
-	for i := range jobs {
+	for i := range machines / 3 {
 		j := sweep(fmt.Sprintf("j-%06d", i), 40)
 		j.Bundle = fmt.Sprint("img-", i%10)
 		j.Workload = []string{"x", "y"}[i%2]
@@ -51,53 +64,57 @@
 	return l, list
 }
 
-// BenchmarkPass is one placement pass after a few changes, at the size of a
-// large deployment.
+// BenchmarkPass is one placement pass after a few changes, at each size of the
+// fleet.
 func BenchmarkPass(b *testing.B) {
-	l, list := grown(b, 2100, 700)
-	now := time.Now()
-	b.ResetTimer()
-	for i := range b.N {
-		for k := range 20 {
-			l.touch(list[(i*20+k)%len(list)])
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, list := grown(b, machines)
+		now := time.Now()
+		b.ResetTimer()
+		for i := range b.N {
+			for k := range 20 {
+				l.touch(list[(i*20+k)%len(list)])
+			}
+			l.pass(now)
 		}
-		l.pass(now)
-	}
+	})
 }
 
 // BenchmarkChurn is a placement pass with what comes between two: tasks that
 // end on some machines, the record, and starts in their place.
 func BenchmarkChurn(b *testing.B) {
-	l, list := grown(b, 2100, 700)
-	epoch := uint64(1000)
-	b.ResetTimer()
-	for i := range b.N {
-		now := time.Now()
-		for k := range 20 {
-			r := list[(i*20+k*101)%len(list)]
-			rep := report(l, r, fleet.Running, "")
-			for n := range rep.Pieces {
-				if a := r.m.Attempts[attemptID(b, rep.Pieces[n])]; n%3 == 0 && a.ID.Task.Index%50 != 0 && l.jobs[a.ID.Task.Job] != nil && l.jobs[a.ID.Task.Job].spec.Shape != intake.Gang {
-					rep.Pieces[n].Status, rep.Pieces[n].Cause = fleet.Exited, fleet.CauseError
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, list := grown(b, machines)
+		epoch := uint64(1000)
+		b.ResetTimer()
+		for i := range b.N {
+			now := time.Now()
+			for k := range 20 {
+				r := list[(i*20+k*101)%len(list)]
+				rep := report(l, r, fleet.Running, "")
+				for n := range rep.Pieces {
+					if a := r.m.Attempts[attemptID(b, rep.Pieces[n])]; n%3 == 0 && a.ID.Task.Index%50 != 0 && l.jobs[a.ID.Task.Job] != nil && l.jobs[a.ID.Task.Job].spec.Shape != intake.Gang {
+						rep.Pieces[n].Status, rep.Pieces[n].Cause = fleet.Exited, fleet.CauseError
+					}
 				}
+				l.observe(r, rep, false, now)
+			}
+			for _, j := range l.jobs {
+				j.notBefore = time.Time{}
+				clear(j.avoid)
+			}
+			epoch = settle(l, epoch)
+			l.pass(now)
+			epoch = settle(l, epoch)
+			for k := range 20 {
+				r := list[(i*20+k*101)%len(list)]
+				r.m.Orders(true, now)
 			}
-			l.observe(r, rep, false, now)
-		}
-		for _, j := range l.jobs {
-			j.notBefore = time.Time{}
-			clear(j.avoid)
-		}
-		epoch = settle(l, epoch)
-		l.pass(now)
-		epoch = settle(l, epoch)
-		for k := range 20 {
-			r := list[(i*20+k*101)%len(list)]
-			r.m.Orders(true, now)
 		}
-	}
+	})
 }
 
-func attemptID(b *testing.B, p fleet.Piece) fleet.AttemptID {
+func attemptID(b testing.TB, p fleet.Piece) fleet.AttemptID {
 	task, err := fleet.ParseTaskID(p.Piece)
 	if err != nil {
 		b.Fatal(err)
@@ -108,25 +125,27 @@
 // BenchmarkReport is a report's way through the leader's routine when it
 // changes nothing.
 func BenchmarkReport(b *testing.B) {
-	l, list := grown(b, 2100, 700)
-	now := time.Now()
-	ch := make(chan Reply, 1)
-	b.ResetTimer()
-	for i := range b.N {
-		r := list[i%len(list)]
-		rep := report(l, r, fleet.Running, "")
-		l.hello(rep, now, ch)
-		l.commit(now)
-		r.waiter.until = now
-		l.wake(r)
-		l.flush(now)
-		<-ch
-	}
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, list := grown(b, machines)
+		now := time.Now()
+		ch := make(chan Reply, 1)
+		b.ResetTimer()
+		for i := range b.N {
+			r := list[i%len(list)]
+			rep := report(l, r, fleet.Running, "")
+			l.hello(rep, now, ch)
+			l.commit(now)
+			r.waiter.until = now
+			l.wake(r)
+			l.flush(now)
+			<-ch
+		}
+	})
 }
 
 // written carries out what a checkpoint of the whole site writes, and returns
-// the rows with their number of transactions.
-func written(l *Leader, rows map[string]wal.Row) (txns int) {
+// the number of transactions and of changes in them.
+func written(l *Leader, rows map[string]wal.Row) (txns, changes int) {
 	l.checkpoint()
 	for l.committer.log.Checkpointing() {
 		t := l.next()
@@ -134,49 +153,57 @@
 			rows[w.Set] = wal.Row{Key: w.Set, Value: w.V}
 		}
 		txns++
+		changes += len(t.Writes)
 		l.committed(outcome{epoch: uint64(1000 + txns)})
 	}
-	return txns
+	return txns, changes
 }
 
 // BenchmarkCheckpoint writes the whole state of a large site anew.
 func BenchmarkCheckpoint(b *testing.B) {
-	l, _ := grown(b, 2100, 700)
-	rows := make(map[string]wal.Row)
-	for range b.N {
-		b.ReportMetric(float64(written(l, rows)), "transactions")
-	}
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, _ := grown(b, machines)
+		rows := make(map[string]wal.Row)
+		b.ResetTimer()
+		for range b.N {
+			txns, changes := written(l, rows)
+			b.ReportMetric(float64(txns), "transactions")
+			b.ReportMetric(float64(changes), "changes")
+		}
+	})
 }
 
 // BenchmarkReplay reads it back at a takeover, with what came on top.
 func BenchmarkReplay(b *testing.B) {
-	l, list := grown(b, 2100, 700)
-	rows := make(map[string]wal.Row)
-	written(l, rows)
-	for i := range tuning.CheckpointAfter {
-		for k := range 20 {
-			l.noteMeta(list[(i*20+k)%len(list)], nil)
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, list := grown(b, machines)
+		rows := make(map[string]wal.Row)
+		written(l, rows)
+		for i := range tuning.CheckpointAfter {
+			for k := range 20 {
+				l.noteMeta(list[(i*20+k)%len(list)], nil)
+			}
+			t := l.next()
+			for _, w := range t.Writes {
+				rows[w.Set] = wal.Row{Key: w.Set, Value: w.V}
+			}
+			l.committed(outcome{epoch: uint64(5000 + i)})
 		}
-		t := l.next()
-		for _, w := range t.Writes {
-			rows[w.Set] = wal.Row{Key: w.Set, Value: w.V}
+		all := make([]wal.Row, 0, len(rows))
+		size := 0
+		for _, r := range rows {
+			all = append(all, r)
+			size += len(r.Value)
 		}
-		l.committed(outcome{epoch: uint64(5000 + i)})
-	}
-	all := make([]wal.Row, 0, len(rows))
-	size := 0
-	for _, r := range rows {
-		all = append(all, r)
-		size += len(r.Value)
-	}
-	b.ReportMetric(float64(size)/(1<<20), "MB")
-	b.ResetTimer()
-	for range b.N {
-		st, _, err := wal.Read(all)
-		if err != nil || len(st.Rigs) != 2100 {
-			b.Fatalf("%d machines read: %v", len(st.Rigs), err)
+		b.ReportMetric(float64(size)/(1<<20), "MB")
+		b.ResetTimer()
+		for range b.N {
+			st, _, err := wal.Read(all)
+			if err != nil || len(st.Rigs) != machines {
+				b.Fatalf("%d machines read: %v", len(st.Rigs), err)
+			}
 		}
-	}
+	})
 }
 
 // offline starts the group of routines that the leader hands calls to, as Run
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -367,7 +367,7 @@
 // task, and that stops the replacement too. Attempts of earlier terms are not
 // completed: what their leader sent last is not known.
 func (l *Leader) mayReplace(j *job, a *fleet.Attempt) bool {
-	if a.Halt || a.Inherited || a.ID.Try != j.gangTry || a.ID.Try>>tuning.TryBits != l.grant.Term || len(j.seats) == 0 {
+	if a.Halt || a.Inherited || a.ID.Try != j.gangTry || !l.attempts.owns(a.ID.Try) || len(j.seats) == 0 {
 		return false
 	}
 	for _, s := range sortedSeats(j) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -39,7 +39,7 @@
 type Cloud interface {
 	Rent(ctx context.Context, r market.Request) ([]string, error)
 	Return(ctx context.Context, names []string) error
-	List(ctx context.Context) ([]market.Host, error)
+	List(ctx context.Context, from string) (hosts []market.Host, next string, err error)
 }
 
 // Workers sends orders straight to a worker; the answer is its report.
@@ -72,9 +72,9 @@
 // can't be carried out any more.
 var ErrTooLarge = errors.New("the state service refuses transactions of this size")
 
-// errTriesUsed ends a term whose attempt numbers are used up; the next one has
+// errAttemptsUsed ends a term whose attempt numbers are used up; the next one has
 // new ones.
-var errTriesUsed = errors.New("attempt numbers of this term are used up")
+var errAttemptsUsed = errors.New("attempt numbers of this term are used up")
 
 // Leader is one term's scheduling state. All fields below calls belong to the
 // routine that runs it.
@@ -112,7 +112,7 @@
 	drawn         map[ledger.Class]ledger.Drawn // as it was logged last
 	teams         []config.Team
 	book          *reserve.Book
-	tries         uint64
+	attempts      attemptNumbers
 	commanding    int  // direct orders under way
 	dirty         bool // a placement pass is due
 	lastPass      time.Time
@@ -151,6 +151,7 @@
 		book: reserve.New(reserve.Options{Enabled: d.Operator.Holds.Enabled, Alpha: d.Operator.Holds.Alpha,
 			P: d.Operator.Holds.P, Threshold: d.Operator.Holds.Threshold}),
 		certainty: certaintyOf(w),
+		attempts:  attemptNumbers{term: g.Term},
 		finished:  make(map[string]bool),
 		ghosts:    make(map[string]*ghost),
 		arrivals:  make(map[string]float64),
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -383,12 +383,10 @@
 			try, ok = j.gangTry, true
 		}
 		if !ok {
-			l.tries++
-			if l.tries >= 1<<tuning.TryBits {
-				l.end(errTriesUsed)
+			if try, ok = l.attempts.next(); !ok {
+				l.end(errAttemptsUsed)
 				return
 			}
-			try = l.grant.Term<<tuning.TryBits | l.tries
 			if j.spec.Shape == intake.Gang {
 				gangTry[j.spec.NameID] = try
 				j.gangTry = try
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -52,9 +52,13 @@
 	StopIgnored = 6 * time.Second
 	// ProbeEvery is the pause between two tries to reach a deaf worker.
 	ProbeEvery = 5 * time.Second
-	// TryBits is the width of the attempt counter below the term in an
-	// attempt number: a million starts a term.
-	TryBits = 20
+	// TryBits is the width of the attempt counter below the term in an attempt number
+	// (bits): a million starts, as earlier versions have it. TermBits is the width of
+	// the term where the counter goes on above it: one election a second for half a
+	// year. TryCarryBits is what is left of 64.
+	TryBits      = 20
+	TermBits     = 24
+	TryCarryBits = 64 - TryBits - TermBits
 )
 
 // State service.
@@ -351,6 +355,9 @@
 	CloudBackoffMax = 4 * time.Second
 	// CatalogEvery refreshes prices.
 	CatalogEvery = 60 * time.Second
+	// HostPage is the number of machines in one page of the cloud's list (protocol:
+	// 500 at most).
+	HostPage = 500
 	// RentBatch is the largest number of machines in one request.
 	RentBatch = 50
 	// RefusedPause is the pause before asking again for a type, zone and
@@ -401,6 +408,9 @@
 	// CondsPerOp times txn_ops is the number of conditions of a transaction
 	// (protocol).
 	CondsPerOp = 4
+	// PollBatches bounds the transactions that settle polls, at once: their number a
+	// second is bounded by the tokens, and each may take half a second to be given up.
+	PollBatches = 16
 	// AskReads bounds the single reads that settle polls whose proof failed,
 	// at once.
 	AskReads = 4
