--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -143,6 +143,25 @@
 	})
 }
 
+// BenchmarkTick is what only time brings about, four times a second: leases, lapses and
+// the dealings with the cloud.
+func BenchmarkTick(b *testing.B) {
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, _ := grown(b, machines)
+		l.d.Cloud = &cloudCalls{}
+		now := time.Now()
+		l.market.listed, l.market.busy = now, true
+		b.ResetTimer()
+		for range b.N {
+			now = now.Add(tuning.TickEvery)
+			for _, r := range l.sortedRigs() {
+				r.m.Heard, r.m.Answered = now, now
+			}
+			l.tick(now)
+		}
+	})
+}
+
 // written carries out what a checkpoint of the whole site writes, and returns
 // the number of transactions and of changes in them.
 func written(l *Leader, rows map[string]wal.Row) (txns, changes int) {
--- a/internal/leader/wal/writer.go
+++ b/internal/leader/wal/writer.go
@@ -265,18 +265,23 @@
 func (w *Writer) behind() bool { return w.Backlog() > tuning.LogRing/2 }
 
 // entryShare is up to how many changes and bytes of a transaction entries may take
-// when so many are taken already. While a checkpoint is written at least one of its
-// parts goes along, and half of what is left when the ring is half full: with few
-// changes a transaction a steady flow of entries would leave it no room until the
-// ring is full, and then nothing could start until it stands.
+// when so many are taken already. While a checkpoint is written it has its part of the
+// rest, and half of it when the ring is half full: with few changes a transaction a
+// steady flow of entries and ended jobs would leave it no room until the ring is full,
+// and then nothing could start until it stands.
 func (w *Writer) entryShare(ops, size int) (entryOps, entryBytes int) {
-	switch {
-	case w.check == nil || w.check.ready:
+	if w.check == nil || w.check.ready {
 		return w.lim.Ops, tuning.TxnBytes
-	case w.behind():
-		return ops + max(1, (w.lim.Ops-ops)/2), size + max(1, (tuning.TxnBytes-size)/2)
 	}
-	return max(ops+1, w.lim.Ops-1), tuning.TxnBytes
+	rest := w.lim.Ops - ops
+	switch {
+	case !w.behind():
+		return ops + min(rest, max(1, rest-1)), tuning.TxnBytes
+	case rest > 1:
+		return ops + rest/2, size + (tuning.TxnBytes-size)/2
+	}
+	// There is room for one change: entries and parts take turns.
+	return ops + min(rest, int(w.turn%2)), tuning.TxnBytes
 }
 
 func (w *Writer) seal(t *Txn) {
