Hints: what is recorded of holds and images is bounded in bytes a second

The design starts at one write a second for holds; here each machine was recorded 2.5 s after a change. The load line tells what entries, hints and checkpoints take.

--- a/internal/leader/edges_test.go
+++ b/internal/leader/edges_test.go
@@ -137,7 +137,7 @@
 			now = lapse.Add(time.Second)
 		}
 		for _, name := range l.book.Lapse(now, l.stillWaits) {
-			l.lazy(l.rigs[name], now)
+			l.hintsChanged(l.rigs[name], now)
 		}
 		r.m.Heard, r.m.Answered = now, now
 		l.sure = now
--- /dev/null
+++ b/internal/leader/hints.go
@@ -0,0 +1,63 @@
+package leader
+
+import (
+	"encoding/json"
+	"reflect"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/tuning"
+)
+
+// hints are the machines whose holds and images have changed since they were
+// recorded. A later leader serves better for knowing them, but nothing rests on
+// them, so their records are bounded in bytes a second: starts and ends come first.
+type hints struct {
+	// due is from when on each may be recorded.
+	due    map[*rig]time.Time
+	budget *rate.Limiter // bytes
+}
+
+// newHints makes the hints of a term within the state service's limits, also those
+// to come.
+func newHints(state config.State, share config.BudgetSettings) hints {
+	_, changes := state.Rates(true)
+	value := state.ValueKB * 1024
+	perSecond := max(value, tuning.HintShare*share.LeaderWriteShare*share.Use*changes*value)
+	return hints{
+		due:    make(map[*rig]time.Time),
+		budget: rate.NewLimiter(rate.Limit(perSecond), int(max(value, perSecond*tuning.HintBurst.Seconds()))),
+	}
+}
+
+// hintsChanged has the machine's holds and images recorded again within a while.
+func (l *Leader) hintsChanged(r *rig, now time.Time) {
+	l.touch(r)
+	if _, waits := l.hints.due[r]; !waits {
+		l.hints.due[r] = now.Add(tuning.HintQuiet)
+	}
+}
+
+// recordHints records what has been due for a while, as far as the budget allows.
+func (l *Leader) recordHints(now time.Time) {
+	for r, due := range l.hints.due {
+		if now.Before(due) {
+			continue
+		}
+		meta := l.meta(r)
+		// Most holds are taken up before this comes round: nothing to record.
+		if reflect.DeepEqual(meta, r.noted) {
+			delete(l.hints.due, r)
+			continue
+		}
+		raw, _ := json.Marshal(meta) // plain fields always encode
+		if !l.hints.budget.AllowN(now, min(len(raw), l.hints.budget.Burst())) {
+			return // the rest has to wait
+		}
+		delete(l.hints.due, r)
+		l.counts.HintBytes += uint64(len(raw))
+		l.noteMeta(r, nil)
+	}
+}
--- /dev/null
+++ b/internal/leader/hints_test.go
@@ -0,0 +1,56 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/tuning"
+)
+
+// TestHintsAreBounded: whatever the number of machines whose images change, their
+// records take no more than their part of the state service's changes, and in the end
+// each is recorded. On a trial day of 4,000 machines they used up what the records of
+// starts and ends needed, and starts waited for a minute.
+func TestHintsAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		changes float64
+		want    float64 // values a second
+	}{{35, tuning.HintShare * tuning.LeaderWriteShare * tuning.BudgetUse * 35}, {10, 1}} {
+		const machines, seconds = 3000, 60
+		now := time.Now()
+		l := testLeader(t)
+		state := config.State{WriteRPS: 100, ValueKB: 2, TxnOps: 10, Next: &config.StateNext{WriteRPS: &c.changes}}
+		l.d.Settings.Params.State = state
+		l.hints = newHints(state, config.DefaultOperator().Budgets)
+		l.openLog(l.committer.log.Head(), 0)
+		for i := range machines {
+			r := addRig(l, fmt.Sprintf("m-%06d", i), "east", now)
+			for k := range 6 {
+				r.touch(fmt.Sprintf("img-%02d-%06d", k, i), 5, true, 0)
+			}
+			l.hintsChanged(r, now)
+		}
+		l.recordHints(now.Add(tuning.HintQuiet / 2))
+		if l.counts.HintBytes != 0 {
+			t.Errorf("recorded before it is quiet")
+		}
+		for tick := range int(seconds * time.Second / tuning.TickEvery) {
+			l.recordHints(now.Add(tuning.HintQuiet + time.Duration(tick)*tuning.TickEvery))
+		}
+		perSecond := max(c.want, 1) * state.ValueKB * 1024
+		if got, most := float64(l.counts.HintBytes), perSecond*(seconds+tuning.HintBurst.Seconds()); got > most || got < most/2 {
+			t.Errorf("%v changes a second: %.0f bytes in %d s, at most %.0f", c.changes, got, seconds, most)
+		}
+		for hour := 0; len(l.hints.due) > 0 && hour < 100; hour++ {
+			for range 3600 {
+				now = now.Add(time.Second)
+				l.recordHints(now.Add(time.Hour))
+			}
+		}
+		if n := len(l.hints.due); n > 0 {
+			t.Errorf("%d machines are never recorded", n)
+		}
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -471,7 +471,7 @@
 		f.Ran = now.Sub(a.RanAt)
 	}
 	if l.book.Finished(f) {
-		l.lazy(r, now)
+		l.hintsChanged(r, now)
 		return
 	}
 	l.offer(r, now)
@@ -483,7 +483,7 @@
 		return
 	}
 	if l.book.Freed(r.m.Name, func(d reserve.Downstream) bool { return l.mayHold(r, d) }, now) {
-		l.lazy(r, now)
+		l.hintsChanged(r, now)
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -102,7 +102,7 @@
 	use           map[string]placement.Room // what the teams' attempts and holds take, as the views show it
 	waiters       map[*rig]bool             // machines whose report waits for its answer
 	woken         []*rig                    // of these, those that orders have come up for
-	lazies        map[*rig]bool             // machines whose hints are to be recorded
+	hints         hints
 	nextFlush     time.Time
 	passTook      time.Duration
 	legacy        map[string]uint64 // keys of the earlier format, with their revision
@@ -161,7 +161,7 @@
 		pipelines: make(map[placement.Pipeline][]*job),
 		use:       make(map[string]placement.Room),
 		waiters:   make(map[*rig]bool),
-		lazies:    make(map[*rig]bool),
+		hints:     newHints(d.Settings.Params.State, d.Operator.Budgets),
 	}
 	l.committer.init()
 	l.waits.init()
@@ -541,11 +541,11 @@
 	}
 	for _, name := range l.book.Lapse(now, l.stillWaits) {
 		if r := l.rigs[name]; r != nil {
-			l.lazy(r, now)
+			l.hintsChanged(r, now)
 		}
 		l.dirty = true
 	}
-	l.noteLazies(now)
+	l.recordHints(now)
 	for _, j := range l.jobs {
 		l.fared(j, now)
 		if !j.notBefore.IsZero() && now.After(j.notBefore) {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -149,7 +149,7 @@
 		t.Fatalf("after the record: %v", got)
 	}
 	l.observe(r, report(l, r, fleet.Running, ""), false, now)
-	if len(r.images) != 1 || !r.images[0].have || r.due.IsZero() {
+	if len(r.images) != 1 || !r.images[0].have || l.hints.due[r].IsZero() {
 		t.Errorf("the image is not noted for the next leader")
 	}
 	l.observe(r, report(l, r, fleet.Exited, fleet.CauseDone), false, now)
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"reflect"
 	"time"
 
 	"thornnotch/internal/config"
@@ -26,11 +25,9 @@
 	m     *fleet.Machine
 	since time.Time
 
-	// metaNoted is set once its type, place and so on are in the log. due is
-	// when they must be noted anew; zero when they are as they stand.
+	// metaNoted is set once its type, place and so on are in the log.
 	metaNoted bool
 	noted     wal.Rig // as it was noted last
-	due       time.Time
 
 	// view is the machine as placement sees it, made at viewAt; stale is set
 	// when it must be made anew. counted is what it adds to the teams' use.
@@ -90,7 +87,7 @@
 // forget drops a machine that is no more.
 func (l *Leader) forget(r *rig) {
 	delete(l.rigs, r.m.Name)
-	delete(l.lazies, r)
+	delete(l.hints.due, r)
 	delete(l.waiters, r)
 	l.ordered = nil
 	l.count(r, nil)
@@ -105,30 +102,6 @@
 	return market.Pool{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
 }
 
-// lazy has the machine's data noted again within a while.
-func (l *Leader) lazy(r *rig, now time.Time) {
-	l.touch(r)
-	if r.due.IsZero() {
-		r.due = now.Add(tuning.RecordQuiet)
-		l.lazies[r] = true
-	}
-}
-
-// noteLazies has noted what has been due for a while.
-func (l *Leader) noteLazies(now time.Time) {
-	for r := range l.lazies {
-		if now.Before(r.due) {
-			continue
-		}
-		delete(l.lazies, r)
-		r.due = time.Time{}
-		// Most holds are taken up before this comes round: nothing to note.
-		if !reflect.DeepEqual(l.meta(r), r.noted) {
-			l.noteMeta(r, nil)
-		}
-	}
-}
-
 // open tells whether new tasks may be put on the machine.
 func (r *rig) open(now time.Time) bool {
 	return r.m.Known && !r.leaving && !r.bad && !now.Before(r.pausedUntil) && r.m.Recall.IsZero() && r.m.Shift > r.m.EndedShift && !r.slow(now) &&
@@ -152,7 +125,7 @@
 	r.touch(j.spec.Bundle, j.spec.ImageGB, true, l.cacheOf(r))
 	if !known {
 		// The next leader must know too, or it fetches where it need not.
-		l.lazy(r, now)
+		l.hintsChanged(r, now)
 	}
 }
 
@@ -408,7 +381,7 @@
 	}
 	if len(l.book.On(r.m.Name)) > 0 {
 		l.book.Drop(r.m.Name)
-		l.lazy(r, now)
+		l.hintsChanged(r, now)
 	}
 }
 
--- a/internal/leader/sched.go
+++ b/internal/leader/sched.go
@@ -34,7 +34,7 @@
 	for _, h := range plan.Released {
 		if r := l.rigs[h.Rig.Name]; r != nil && l.book.Use(h.Rig.Name, func(p placement.Pipeline) bool { return p == h.Held.Pipeline }) {
 			l.d.Log.Debug("hold given up", "rig", h.Rig.Name, "class", h.Held.Pipeline.Workload)
-			l.lazy(r, now)
+			l.hintsChanged(r, now)
 		}
 	}
 	for _, e := range plan.Evicts {
@@ -401,7 +401,7 @@
 		l.noteAdd(r, a)
 		if l.book.Use(r.m.Name, j.view.Owns) {
 			l.d.Log.Debug("hold used", "rig", r.m.Name, "job", j.spec.NameID)
-			l.lazy(r, now)
+			l.hintsChanged(r, now)
 		}
 		l.book.Override(r.m.Name, s.Rig.Total.Sub(l.used(r)))
 		r.touch(j.spec.Bundle, j.spec.ImageGB, false, l.cacheOf(r))
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"thornnotch/internal/fleet"
+	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/ledger"
 	"thornnotch/internal/placement"
 	"thornnotch/internal/tuning"
@@ -217,7 +218,10 @@
 	Commits   uint64  `json:"commits"`
 	CommitS   float64 `json:"commitS"`
 	Calls     uint64  `json:"calls"` // taken by the routine
-	BusyS     float64 `json:"busyS"` // time the routine was at work
+	// HintBytes are the records of holds and images, Log all that the log has taken.
+	HintBytes uint64    `json:"hintBytes"`
+	Log       wal.Stats `json:"log"`
+	BusyS     float64   `json:"busyS"` // time the routine was at work
 }
 
 // logLoad logs once in a while how much the routine had to do since last.
@@ -226,14 +230,18 @@
 		return
 	}
 	s := now.Sub(l.lastLoad).Seconds()
+	l.counts.Log = l.committer.log.Stats()
 	c, was := l.counts, l.counted
+	kilobytes := func(a, b uint64) float64 { return math.Round(float64(a-b)/s/102.4) / 10 }
 	per := func(a, b uint64) float64 { return math.Round(float64(a-b)/s*10) / 10 }
 	part := func(a, b float64) float64 { return math.Round((a-b)/s*1000) / 1000 }
 	if !l.lastLoad.IsZero() {
 		l.d.Log.Info("load", "jobs", len(l.jobs), "machines", len(l.rigs), "reports_s", per(c.Reports, was.Reports),
 			"orders_s", per(c.Orders, was.Orders), "commands_s", per(c.Commands, was.Commands), "passes_s", per(c.Passes, was.Passes),
 			"pass_part", part(c.PassS, was.PassS), "commits_s", per(c.Commits, was.Commits), "commit_part", part(c.CommitS, was.CommitS),
-			"busy_part", part(c.BusyS, was.BusyS), "queue", len(l.calls), "log", l.committer.log.Backlog())
+			"busy_part", part(c.BusyS, was.BusyS),
+			"entries_kb_s", kilobytes(c.Log.EntryBytes, was.Log.EntryBytes), "hints_kb_s", kilobytes(c.HintBytes, was.HintBytes),
+			"checkpoint_kb_s", kilobytes(c.Log.PartBytes, was.Log.PartBytes), "queue", len(l.calls), "log", l.committer.log.Backlog())
 	}
 	if l.d.Drawn != nil {
 		drawn := make(map[ledger.Class]ledger.Drawn)
--- a/internal/leader/wal/writer.go
+++ b/internal/leader/wal/writer.go
@@ -14,6 +14,15 @@
 	Ops        int
 }
 
+// Stats are running sums of what a term has put into transactions.
+type Stats struct {
+	Entries    uint64 `json:"entries"`
+	EntryBytes uint64 `json:"entryBytes"`
+	// Parts are of checkpoints.
+	Parts     uint64 `json:"parts"`
+	PartBytes uint64 `json:"partBytes"`
+}
+
 // Extra is a change of other keys that goes with a transaction.
 type Extra struct {
 	When   []ledger.Cond
@@ -50,6 +59,7 @@
 	doneFns []func()
 	flight  *Txn
 	check   *checkpoint
+	stats   Stats
 }
 
 type change struct {
@@ -173,6 +183,9 @@
 // InFlight tells whether a transaction is frozen and its fate not known.
 func (w *Writer) InFlight() bool { return w.flight != nil }
 
+// Stats are running sums of what the term has written.
+func (w *Writer) Stats() Stats { return w.stats }
+
 // Head is the newest head that stands.
 func (w *Writer) Head() Head { return w.head }
 
@@ -224,6 +237,8 @@
 			break
 		}
 		t.values = append(t.values, ledger.Write{Set: ringKey(t.head.Next), V: v})
+		w.stats.Entries++
+		w.stats.EntryBytes += uint64(len(v))
 		t.stood = append(t.stood, stood...)
 		t.head.Next++
 		ops++
@@ -243,6 +258,8 @@
 			t.values = append(t.values, ledger.Write{Set: partKey(c.area, c.parts), V: v})
 			c.parts++
 			t.parts++
+			w.stats.Parts++
+			w.stats.PartBytes += uint64(len(v))
 			ops++
 			size += len(v)
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -149,9 +149,15 @@
 	PendingHold = 2600 * time.Millisecond
 	// FlushEvery is the step in which held answers run out.
 	FlushEvery = 25 * time.Millisecond
-	// RecordQuiet is how long the record of a machine's holds and images, which
-	// are hints, may lag.
-	RecordQuiet = 2500 * time.Millisecond
+	// HintQuiet is how long the record of a machine's holds and images, which are
+	// hints, lags at the least: most holds are taken up before that.
+	HintQuiet = 2500 * time.Millisecond
+	// HintShare is the part of the leader's changes that hints may take where that is
+	// more than one value a second, and HintBurst for how long they may be saved up:
+	// on a large fleet they would take as much as starts and ends together, and a
+	// checkpoint holds them anyway.
+	HintShare = 0.1
+	HintBurst = 2 * time.Second
 	// LogRing is the number of keys that log entries go round in. A takeover
 	// reads them all; at a few KiB each that is a few pages.
 	LogRing = 1024
