Log: a checkpoint gets the changes it needs to stand as the ring comes to be full

Before, one part a transaction went along until the ring was half full, then half of it, which is too little where the checkpoint has more parts than the ring has slots: it ended in a standstill of 9 s (reckoned: 670 parts, nine a transaction, eight transactions a second).

--- a/internal/leader/wal/writer.go
+++ b/internal/leader/wal/writer.go
@@ -59,7 +59,9 @@
 	doneFns []func()
 	flight  *Txn
 	check   *checkpoint
-	stats   Stats
+	// owed are changes that the checkpoint's share has come to and not got yet.
+	owed  float64
+	stats Stats
 }
 
 type change struct {
@@ -74,6 +76,7 @@
 	from  uint64
 	parts int
 	rigs  []string
+	total int // machines as it began
 	jobs  []string
 	src   Source
 	// first is the next run of jobs[0] to write.
@@ -211,7 +214,7 @@
 	if w.flight != nil {
 		from = w.flight.head.Next
 	}
-	w.check = &checkpoint{area: area, from: from, rigs: rigs, jobs: jobs, src: src, over: over}
+	w.check = &checkpoint{area: area, from: from, rigs: rigs, total: len(rigs), jobs: jobs, src: src, over: over}
 }
 
 // Next freezes a transaction of what is pending, with the extras in front.
@@ -229,9 +232,10 @@
 			size += len(x.V) + 200
 		}
 	}
-	entryOps, entryBytes := w.entryShare(ops, size)
+	partOps := w.partShare(w.lim.Ops - ops)
+	entryBytes := tuning.TxnBytes - (tuning.TxnBytes-size)*partOps/max(w.lim.Ops-ops, 1)
 	// The ring must never run into the entries that still count.
-	for ops < entryOps && size < entryBytes && w.Backlog()+len(t.values) < tuning.LogRing-tuning.LogSlack {
+	for ops < w.lim.Ops-partOps && size < entryBytes && w.Backlog()+len(t.values) < tuning.LogRing-tuning.LogSlack {
 		v, stood := w.take(t.head.Next)
 		if v == nil {
 			break
@@ -245,11 +249,7 @@
 		size += len(v)
 	}
 	if c := w.check; c != nil {
-		many := 1
-		if w.behind() {
-			many = w.lim.Ops
-		}
-		for i := 0; i < many && ops < w.lim.Ops && size < tuning.TxnBytes && !c.ready; i++ {
+		for i := 0; i < max(partOps, 1) && ops < w.lim.Ops && size < tuning.TxnBytes && !c.ready; i++ {
 			v := c.next(w.lim.ValueBytes)
 			if v == nil {
 				c.ready = true
@@ -278,27 +278,30 @@
 	return t
 }
 
-// behind tells whether the ring fills up faster than the checkpoint comes on.
-func (w *Writer) behind() bool { return w.Backlog() > tuning.LogRing/2 }
-
-// entryShare is up to how many changes and bytes of a transaction entries may take
-// when so many are taken already. While a checkpoint is written it has its part of the
-// rest, and half of it when the ring is half full: with few changes a transaction a
-// steady flow of entries and ended jobs would leave it no room until the ring is full,
-// and then nothing could start until it stands.
-func (w *Writer) entryShare(ops, size int) (entryOps, entryBytes int) {
-	if w.check == nil || w.check.ready {
-		return w.lim.Ops, tuning.TxnBytes
-	}
-	rest := w.lim.Ops - ops
-	switch {
-	case !w.behind():
-		return ops + min(rest, max(1, rest-1)), tuning.TxnBytes
-	case rest > 1:
-		return ops + rest/2, size + (tuning.TxnBytes-size)/2
-	}
-	// There is room for one change: entries and parts take turns.
-	return ops + min(rest, int(w.turn%2)), tuning.TxnBytes
+// partShare is how many of so many changes of a transaction are kept for parts of the
+// checkpoint: as many as it takes for the checkpoint to stand when the ring comes to be
+// full, if entries fill what is left. With few changes a transaction a steady flow of
+// entries and ended jobs would leave it no room until the ring is full, and then
+// nothing could start until it stands.
+func (w *Writer) partShare(changes int) int {
+	if w.check == nil || w.check.ready || changes <= 0 {
+		return 0
+	}
+	parts := float64(w.check.left(w.head.Parts))
+	entries := max(float64(tuning.LogRing)*tuning.LogFill-float64(w.Backlog()), 0)
+	w.owed += float64(changes) * parts / (parts + entries)
+	share := min(int(w.owed), changes)
+	w.owed = min(w.owed-float64(share), float64(w.lim.Ops))
+	return share
+}
+
+// left is about how many parts are yet to be written; the last checkpoint had so many.
+func (c *checkpoint) left(last int) int {
+	if c.parts == 0 {
+		return max(last, 1)
+	}
+	perPart := max(float64(c.total-len(c.rigs))/float64(c.parts), 1)
+	return int(float64(len(c.rigs))/perPart) + 1
 }
 
 func (w *Writer) seal(t *Txn) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -161,6 +161,8 @@
 	// LogRing is the number of keys that log entries go round in. A takeover
 	// reads them all; at a few KiB each that is a few pages.
 	LogRing = 1024
+	// LogFill is the part of the ring that may be full when a checkpoint stands.
+	LogFill = 0.9
 	// LogSlack is kept free in the ring for the entries of one transaction.
 	LogSlack = 8
 	// CheckpointAfter is how many entries a takeover may have to read on top of
