Log: a large ring for large fleets, used once every node says that it reads it

Earlier versions find an entry missing and decide nothing; log.large_ring brings the log back for a return to them. A takeover reads the head first and then only what it counts on.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -18,6 +18,15 @@
 	Holds   HoldSettings   `yaml:"holds"`
 	Budgets BudgetSettings `yaml:"budgets"`
 	Renting RentSettings   `yaml:"renting"`
+	Log     LogSettings    `yaml:"log"`
+}
+
+// LogSettings steer the leader's write-ahead log.
+type LogSettings struct {
+	// LargeRing lets a large fleet's entries stand in a ring that versions before it
+	// do not read, once all nodes do. Off, the log is brought back to the first ring,
+	// as before a return to such a version.
+	LargeRing bool `yaml:"large_ring"`
 }
 
 // RentSettings steer how many machines are rented.
@@ -58,6 +67,7 @@
 		Holds:   HoldSettings{Enabled: true, Alpha: tuning.HoldAlpha, P: tuning.HoldP, Threshold: tuning.HoldThreshold},
 		Budgets: BudgetSettings{LeaderShare: tuning.LeaderShare, LeaderWriteShare: tuning.LeaderWriteShare, Use: tuning.BudgetUse},
 		Renting: RentSettings{Spare: tuning.RentSpare, Keep: tuning.KeepSpare},
+		Log:     LogSettings{LargeRing: true},
 	}
 }
 
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -32,6 +32,8 @@
 	retryAt time.Time
 	backoff time.Duration
 	last    time.Time
+	// ringsAsked is when the nodes were last asked which rings they read.
+	ringsAsked time.Time
 	// more is set if the last transaction had no room for all that waited.
 	more bool
 	// since is when the present transaction was first sent.
@@ -115,7 +117,7 @@
 // next gathers the next transaction.
 func (l *Leader) next() *wal.Txn {
 	c := &l.committer
-	if !c.log.Checkpointing() && c.log.Backlog() > tuning.CheckpointAfter {
+	if c.log.CheckpointDue() {
 		l.checkpoint()
 	}
 	if c.log.InFlight() {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"sort"
 	"sync/atomic"
@@ -59,6 +58,8 @@
 	// Vouch asks all nodes for the cancellations that they know of; nil: the
 	// watch alone counts.
 	Vouch Vouch
+	// ReadsLargeRing asks whether all nodes read the log's large ring; nil: they don't.
+	ReadsLargeRing func(ctx context.Context) bool
 	// Drawn tells what this node's calls of a class have drawn; may be nil.
 	Drawn func(ledger.Class) ledger.Drawn
 	Log   *slog.Logger
@@ -324,138 +325,6 @@
 	}
 }
 
-// Takeover tells how far the takeover has come; empty once it is over.
-func (l *Leader) Takeover() string {
-	if s := l.takeover.Load(); s != nil {
-		return *s
-	}
-	return ""
-}
-
-func (l *Leader) says(format string, args ...any) {
-	s := fmt.Sprintf(format, args...)
-	l.takeover.Store(&s)
-}
-
-// hears follows which of the machines that the records name have reported. The
-// takeover is over once all have, or those that have not must have lost their
-// leases.
-func (l *Leader) hears(now time.Time) {
-	if l.Takeover() == "" {
-		return
-	}
-	all, heard := 0, 0
-	for _, r := range l.rigs {
-		all++
-		if r.m.Known {
-			heard++
-		}
-	}
-	if took := now.Sub(l.began); heard == all || took > l.lease {
-		l.says("")
-		l.d.Log.Info("takeover complete", "term", l.grant.Term, "machines", all, "heard", heard, "took_s", math.Round(took.Seconds()*10)/10)
-		return
-	}
-	l.says("%d of %d machines heard", heard, all)
-}
-
-// load reads all records of the earlier terms. Reading starts after the term
-// was raised, so no older leader can change them any more.
-func (l *Leader) load(ctx context.Context) (epoch uint64, err error) {
-	start := time.Now()
-	l.began = start
-	l.says("reading the jobs")
-	open, epoch, err := l.read(ctx, intake.OpenPrefix)
-	if err != nil {
-		return 0, err
-	}
-	l.says("reading the log, %d jobs open", len(open))
-	rows, _, err := l.read(ctx, wal.Prefix)
-	if err != nil {
-		return 0, err
-	}
-	list := make([]wal.Row, len(rows))
-	stamp := uint64(0)
-	for i, r := range rows {
-		list[i] = wal.Row{Key: r.K, Value: r.V}
-		if r.K == wal.HeadKey {
-			stamp = r.Stamp
-		}
-	}
-	st, odd, err := wal.Read(list)
-	for _, key := range odd {
-		l.d.Log.Error("record is not ours", "key", key)
-	}
-	if err != nil {
-		return 0, err
-	}
-	var oldRigs, oldDids []ledger.Row
-	if st.Head.Area == "" {
-		// No checkpoint yet: what there is may be of the earlier format.
-		if oldRigs, _, err = l.read(ctx, oldRigPrefix); err != nil {
-			return 0, err
-		}
-		if oldDids, _, err = l.read(ctx, oldDidPrefix); err != nil {
-			return 0, err
-		}
-	}
-	now := time.Now()
-	for _, row := range open {
-		l.addJob(row.K, row.V, row.Stamp, now)
-	}
-	for _, j := range l.jobs {
-		j.inherited = true
-	}
-	if err := l.restoreOld(oldRigs, oldDids, now); err != nil {
-		return 0, err
-	}
-	for name, rec := range st.Rigs {
-		if err := l.restore(name, rec, now); err != nil {
-			return 0, err
-		}
-	}
-	for job, list := range st.Done {
-		l.restoreDone(job, list)
-	}
-	l.openLog(st.Head, stamp)
-	if len(l.legacy) > 0 {
-		l.checkpoint()
-	}
-	for _, j := range l.jobs {
-		l.checkComplete(j)
-		l.dissolve(j, now)
-	}
-	l.dirty = true
-	l.loaded = true
-	l.linkAll(now)
-	l.d.Log.Info("records loaded", "term", l.grant.Term, "jobs", len(l.jobs), "machines", len(l.rigs),
-		"log", st.Head.Next-st.Head.From, "took_ms", time.Since(start).Milliseconds())
-	return epoch, nil
-}
-
-// openLog begins to write behind the head that was read.
-func (l *Leader) openLog(head wal.Head, stamp uint64) {
-	p := l.d.Settings.Params.State
-	l.committer.log = wal.NewWriter(l.grant.Term, wal.Limits{ValueBytes: int(p.ValueKB * 1024), Ops: p.TxnOps}, head, stamp)
-}
-
-// read lists one kind of record, trying again for as long as the term lasts:
-// giving the lead up over one failed answer would only start it all anew.
-func (l *Leader) read(ctx context.Context, prefix string) ([]ledger.Row, uint64, error) {
-	for {
-		asked := time.Now()
-		rows, epoch, err := l.d.Store.List(ctx, ledger.Lease, prefix)
-		if prefix == intake.OpenPrefix {
-			l.watched, l.sure = asked, asked
-		}
-		if err == nil || ctx.Err() != nil {
-			return rows, epoch, err
-		}
-		l.d.Log.Info("records can't be read", "prefix", prefix, "err", err)
-		pause(ctx, tuning.BackoffMin)
-	}
-}
-
 // follow learns of submissions and cancellations.
 func (l *Leader) follow(ctx context.Context, epoch uint64) error {
 	block := tuning.WatchBlock
@@ -554,6 +423,7 @@
 		}
 	}
 	l.askFates(now)
+	l.askRings(now)
 	l.trade(now)
 	if now.Sub(l.lastPass) > time.Second {
 		l.dirty = true // estimates and spare room change with time alone
--- /dev/null
+++ b/internal/leader/takeover.go
@@ -0,0 +1,196 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"thornnotch/internal/intake"
+	"thornnotch/internal/leader/wal"
+	"thornnotch/internal/ledger"
+	"thornnotch/internal/tuning"
+)
+
+// Takeover tells how far the takeover has come; empty once it is over.
+func (l *Leader) Takeover() string {
+	if s := l.takeover.Load(); s != nil {
+		return *s
+	}
+	return ""
+}
+
+func (l *Leader) says(format string, args ...any) {
+	s := fmt.Sprintf(format, args...)
+	l.takeover.Store(&s)
+}
+
+// hears follows which of the machines that the records name have reported. The
+// takeover is over once all have, or those that have not must have lost their
+// leases.
+func (l *Leader) hears(now time.Time) {
+	if l.Takeover() == "" {
+		return
+	}
+	all, heard := 0, 0
+	for _, r := range l.rigs {
+		all++
+		if r.m.Known {
+			heard++
+		}
+	}
+	if took := now.Sub(l.began); heard == all || took > l.lease {
+		l.says("")
+		l.d.Log.Info("takeover complete", "term", l.grant.Term, "machines", all, "heard", heard, "took_s", math.Round(took.Seconds()*10)/10)
+		return
+	}
+	l.says("%d of %d machines heard", heard, all)
+}
+
+// load reads all records of the earlier terms. Reading starts after the term
+// was raised, so no older leader can change them any more.
+func (l *Leader) load(ctx context.Context) (epoch uint64, err error) {
+	start := time.Now()
+	l.began = start
+	l.says("reading the jobs")
+	open, epoch, err := l.read(ctx, intake.OpenPrefix)
+	if err != nil {
+		return 0, err
+	}
+	l.says("reading the log, %d jobs open", len(open))
+	st, stamp, err := l.readLog(ctx)
+	if err != nil {
+		return 0, err
+	}
+	var oldRigs, oldDids []ledger.Row
+	if st.Head.Area == "" {
+		// No checkpoint yet: what there is may be of the earlier format.
+		if oldRigs, _, err = l.read(ctx, oldRigPrefix); err != nil {
+			return 0, err
+		}
+		if oldDids, _, err = l.read(ctx, oldDidPrefix); err != nil {
+			return 0, err
+		}
+	}
+	now := time.Now()
+	for _, row := range open {
+		l.addJob(row.K, row.V, row.Stamp, now)
+	}
+	for _, j := range l.jobs {
+		j.inherited = true
+	}
+	if err := l.restoreOld(oldRigs, oldDids, now); err != nil {
+		return 0, err
+	}
+	for name, rec := range st.Rigs {
+		if err := l.restore(name, rec, now); err != nil {
+			return 0, err
+		}
+	}
+	for job, list := range st.Done {
+		l.restoreDone(job, list)
+	}
+	l.openLog(st.Head, stamp)
+	if len(l.legacy) > 0 {
+		l.checkpoint()
+	}
+	for _, j := range l.jobs {
+		l.checkComplete(j)
+		l.dissolve(j, now)
+	}
+	l.dirty = true
+	l.loaded = true
+	l.linkAll(now)
+	l.d.Log.Info("records loaded", "term", l.grant.Term, "jobs", len(l.jobs), "machines", len(l.rigs),
+		"log", st.Head.Next-st.Head.From, "took_ms", time.Since(start).Milliseconds())
+	return epoch, nil
+}
+
+// readLog reads the log's head, what it counts on, and the head's revision. Nobody
+// writes the log any more, so it need not be read at one moment.
+func (l *Leader) readLog(ctx context.Context) (st wal.State, stamp uint64, err error) {
+	headRow, found, err := l.readKey(ctx, wal.HeadKey)
+	if err != nil {
+		return wal.State{}, 0, err
+	}
+	var rows []wal.Row
+	if found {
+		var head wal.Head
+		if err := json.Unmarshal(headRow.V, &head); err != nil {
+			return wal.State{}, 0, fmt.Errorf("record %s: %w", wal.HeadKey, err)
+		}
+		rows = append(rows, wal.Row{Key: headRow.K, Value: headRow.V})
+		for _, prefix := range head.Prefixes() {
+			listed, _, err := l.read(ctx, prefix)
+			if err != nil {
+				return wal.State{}, 0, err
+			}
+			for _, r := range listed {
+				rows = append(rows, wal.Row{Key: r.K, Value: r.V})
+			}
+		}
+	}
+	st, odd, err := wal.Read(rows)
+	for _, key := range odd {
+		l.d.Log.Error("record is not ours", "key", key)
+	}
+	return st, headRow.Stamp, err
+}
+
+// openLog begins to write behind the head that was read.
+func (l *Leader) openLog(head wal.Head, stamp uint64) {
+	p := l.d.Settings.Params.State
+	l.committer.log = wal.NewWriter(l.grant.Term, wal.Limits{ValueBytes: int(p.ValueKB * 1024), Ops: p.TxnOps}, head, stamp)
+	// In use it was found to be read by all nodes, and they do not go back unless the
+	// operators' setting has said so first.
+	l.committer.log.SetLarge(head.Ring > 0 && l.d.Operator.Log.LargeRing)
+}
+
+// askRings asks, now and then, whether all nodes read the log's large ring, if the
+// fleet has grown so large that it is wanted.
+func (l *Leader) askRings(now time.Time) {
+	c := &l.committer
+	if l.d.ReadsLargeRing == nil || !l.d.Operator.Log.LargeRing || !c.log.WantsLarge() || now.Sub(c.ringsAsked) < tuning.LargeRingAsk {
+		return
+	}
+	c.ringsAsked = now
+	l.tasks.Go(func() error {
+		if l.d.ReadsLargeRing(l.ctx) {
+			l.do(l.ctx, func() {
+				l.d.Log.Info("the log moves to the large ring: all nodes read it", "parts", c.log.Head().Parts)
+				c.log.SetLarge(true)
+			})
+		}
+		return nil
+	})
+}
+
+// readKey reads one record, trying again for as long as the term lasts.
+func (l *Leader) readKey(ctx context.Context, key string) (ledger.Row, bool, error) {
+	for {
+		row, found, err := l.d.Store.Get(ctx, ledger.Lease, key)
+		if err == nil || ctx.Err() != nil {
+			return row, found, err
+		}
+		l.d.Log.Info("record can't be read", "key", key, "err", err)
+		pause(ctx, tuning.BackoffMin)
+	}
+}
+
+// read lists one kind of record, trying again for as long as the term lasts:
+// giving the lead up over one failed answer would only start it all anew.
+func (l *Leader) read(ctx context.Context, prefix string) ([]ledger.Row, uint64, error) {
+	for {
+		asked := time.Now()
+		rows, epoch, err := l.d.Store.List(ctx, ledger.Lease, prefix)
+		if prefix == intake.OpenPrefix {
+			l.watched, l.sure = asked, asked
+		}
+		if err == nil || ctx.Err() != nil {
+			return rows, epoch, err
+		}
+		l.d.Log.Info("records can't be read", "prefix", prefix, "err", err)
+		pause(ctx, tuning.BackoffMin)
+	}
+}
--- a/internal/leader/wal/record.go
+++ b/internal/leader/wal/record.go
@@ -22,10 +22,15 @@
 	Prefix     = "log/"
 	HeadKey    = Prefix + "head"
 	ringPrefix = Prefix + "r/"
+	// largePrefix is of the ring for large fleets, which versions before 0.2.0's
+	// release do not read.
+	largePrefix = Prefix + "w/"
 )
 
 func ringKey(seq uint64) string { return fmt.Sprintf("%s%04d", ringPrefix, seq%tuning.LogRing) }
 
+func largeKey(seq, ring uint64) string { return fmt.Sprintf("%s%05d", largePrefix, seq%ring) }
+
 func partKey(area string, part int) string { return fmt.Sprintf("%s%s/%04d", Prefix, area, part) }
 
 // Head is set by every transaction of a leader and is a condition of the next:
@@ -40,6 +45,48 @@
 	// Area and Parts say where the newest whole checkpoint stands.
 	Area  string `json:"area,omitempty"`
 	Parts int    `json:"parts,omitempty"`
+	// Ring is the size of the large ring, in which entries from RingFrom on stand;
+	// 0: all are in the ring that every version reads. A version that does not know
+	// it finds an entry missing, and so decides nothing.
+	Ring     uint64 `json:"ring,omitempty"`
+	RingFrom uint64 `json:"ringFrom,omitempty"`
+}
+
+// entryKey is where an entry stands.
+func (h Head) entryKey(seq uint64) string {
+	if h.Ring > 0 && seq >= h.RingFrom {
+		return largeKey(seq, h.Ring)
+	}
+	return ringKey(seq)
+}
+
+// ring is how many entries may count at a time.
+func (h Head) ring() int {
+	if h.Ring > 0 {
+		return int(h.Ring)
+	}
+	return tuning.LogRing
+}
+
+// Prefixes list the keys that a takeover must read: of the checkpoint and of the
+// entries on top of it. Those of the large ring come by the hundred, as most of it does
+// not count at a time.
+func (h Head) Prefixes() (prefixes []string) {
+	if h.Area != "" {
+		prefixes = append(prefixes, Prefix+h.Area+"/")
+	}
+	if h.Next > h.From && (h.Ring == 0 || h.From < h.RingFrom) {
+		prefixes = append(prefixes, ringPrefix)
+	}
+	last := ""
+	for seq := max(h.From, h.RingFrom); h.Ring > 0 && seq < h.Next; seq++ {
+		key := largeKey(seq, h.Ring)
+		if hundred := key[:len(key)-2]; hundred != last {
+			prefixes = append(prefixes, hundred)
+			last = hundred
+		}
+	}
+	return prefixes
 }
 
 // Attempt is one start of a task that may be on its machine.
@@ -181,11 +228,12 @@
 	}
 	for seq := h.From; seq < h.Next; seq++ {
 		var e Entry
-		if err := decode(byKey, ringKey(seq), &e); err != nil {
+		key := h.entryKey(seq)
+		if err := decode(byKey, key, &e); err != nil {
 			return st, odd, err
 		}
 		if e.Seq != seq {
-			return st, odd, fmt.Errorf("record %s holds entry %d, not %d", ringKey(seq), e.Seq, seq)
+			return st, odd, fmt.Errorf("record %s holds entry %d, not %d", key, e.Seq, seq)
 		}
 		st.apply(e)
 	}
@@ -198,7 +246,7 @@
 	}
 	area, number, ok := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
 	_, err := strconv.Atoi(number)
-	return ok && err == nil && (area == "r" || area == "a" || area == "b")
+	return ok && err == nil && (area == "r" || area == "w" || area == "a" || area == "b")
 }
 
 func decode(rows map[string]json.RawMessage, key string, into any) error {
--- a/internal/leader/wal/wal_test.go
+++ b/internal/leader/wal/wal_test.go
@@ -48,6 +48,7 @@
 	return nil
 }
 
+// log lists all of the log's keys.
 func (s *store) log() (out []Row) {
 	for k, r := range s.rows {
 		if strings.HasPrefix(k, Prefix) {
@@ -58,6 +59,22 @@
 	return out
 }
 
+// named lists what a takeover reads: the head, and what it names.
+func (s *store) named() (out []Row) {
+	var head Head
+	if r, ok := s.rows[HeadKey]; ok {
+		_ = json.Unmarshal(r.Value, &head) // Read tells
+	}
+	prefixes := append(head.Prefixes(), HeadKey)
+	for k, r := range s.rows {
+		if slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(k, prefix) }) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
 // model is a leader reduced to what its log must keep.
 type model struct {
 	w    *Writer
@@ -116,7 +133,14 @@
 		s := &store{rows: map[string]Row{}, stamp: map[string]uint64{termKey: 1}, epoch: 1}
 		lim := Limits{ValueBytes: 600, Ops: 5}
 		m := newModel()
-		m.term, m.w = 1, NewWriter(1, lim, Head{}, 0)
+		// A ring so small that it wraps, and that any checkpoint is large enough for.
+		newWriter := func(term uint64, head Head, stamp uint64) *Writer {
+			w := NewWriter(term, lim, head, stamp)
+			w.largeRing, w.largeParts = 24, 0
+			w.SetLarge(rapid.Bool().Draw(t, "large"))
+			return w
+		}
+		m.term, m.w = 1, newWriter(1, Head{}, 0)
 		type txn struct {
 			when   []ledger.Cond
 			writes []ledger.Write
@@ -219,7 +243,9 @@
 				m.w.Del(name, a)
 			},
 			"meta": func(t *rapid.T) {
-				name, zone := rig(), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+				// Each zone is new, so that it tells which record was read.
+				tries++
+				name, zone := rig(), fmt.Sprint("z-", tries)
 				if m.live[name] == nil {
 					m.live[name] = map[Attempt]bool{}
 				}
@@ -256,6 +282,7 @@
 				slices.Sort(names)
 				m.w.Checkpoint(names, jobs, m, nil)
 			},
+			"ring":  func(t *rapid.T) { m.w.SetLarge(rapid.Bool().Draw(t, "large")) },
 			"send":  func(t *rapid.T) { send() },
 			"send2": func(t *rapid.T) { send() },
 			"late": func(t *rapid.T) {
@@ -268,7 +295,7 @@
 			"takeover": func(t *rapid.T) {
 				s.epoch++
 				s.stamp[termKey] = s.epoch
-				st, odd, err := Read(s.log())
+				st, odd, err := Read(s.named())
 				if err != nil || len(odd) > 0 {
 					t.Fatalf("can't take over: %v %v", err, odd)
 				}
@@ -310,7 +337,7 @@
 					}
 				}
 				m = newModel()
-				m.term, m.w = s.epoch, NewWriter(s.epoch, lim, st.Head, s.stamp[HeadKey])
+				m.term, m.w = s.epoch, newWriter(s.epoch, st.Head, s.stamp[HeadKey])
 				for name, r := range st.Rigs {
 					m.live[name] = map[Attempt]bool{}
 					m.zone[name], m.written[name] = r.Zone, r.Zone
@@ -441,6 +468,83 @@
 	}
 }
 
+// TestLargeRing: a checkpoint too large for the ring that all versions read has entries
+// go to the large one, once that is allowed. The checkpoint then is written less often
+// than entries; a version that reads the first ring alone finds an entry missing and
+// decides nothing; and when it is no longer allowed, the first one is in use again as
+// soon as a checkpoint stands.
+func TestLargeRing(t *testing.T) {
+	const machines = 6000
+	s := &store{rows: map[string]Row{}, stamp: map[string]uint64{}}
+	m := newModel()
+	m.w = NewWriter(1, Limits{ValueBytes: 2048, Ops: 10}, Head{}, 0)
+	names := make([]string, machines)
+	for i := range names {
+		names[i] = fmt.Sprintf("m-%06d", i)
+		m.zone[names[i]] = strings.Repeat("z", 200)
+		m.live[names[i]] = map[Attempt]bool{}
+	}
+	try := uint64(0)
+	write := func(transactions int) {
+		t.Helper()
+		for range transactions {
+			for range 200 {
+				try++
+				m.w.Add(names[int(try)%machines], Attempt{Piece: fmt.Sprintf("j-%06d/0", try), Try: try, Shift: 1}, "j-000001", Job{Owner: "someone"}, nil)
+			}
+			if m.w.CheckpointDue() {
+				m.w.Checkpoint(names, nil, m, nil)
+			}
+			x := m.w.Next(nil)
+			if failed := s.run(x.When, x.Writes); failed != nil {
+				t.Fatal(failed)
+			}
+			m.w.Stood(s.epoch)
+		}
+	}
+	// earlier reads as a version that knows one ring.
+	earlier := func() error {
+		var head Head
+		if err := json.Unmarshal(s.rows[HeadKey].Value, &head); err != nil {
+			return err
+		}
+		for seq := head.From; seq < head.Next; seq++ {
+			var e Entry
+			if err := json.Unmarshal(s.rows[ringKey(seq)].Value, &e); err != nil || e.Seq != seq {
+				return fmt.Errorf("entry %d: %d, %v", seq, e.Seq, err)
+			}
+		}
+		return nil
+	}
+	write(1000)
+	before := m.w.Stats()
+	if m.w.Head().Ring != 0 || earlier() != nil || !m.w.WantsLarge() {
+		t.Fatalf("head %+v, wants the large ring %v, earlier versions: %v", m.w.Head(), m.w.WantsLarge(), earlier())
+	}
+	m.w.SetLarge(true)
+	write(3000)
+	after := m.w.Stats()
+	if m.w.Head().Ring != tuning.LogRingLarge || earlier() == nil {
+		t.Errorf("head %+v, earlier versions read on", m.w.Head())
+	}
+	if _, _, err := Read(s.named()); err != nil {
+		t.Error(err)
+	}
+	small := float64(before.PartBytes) / float64(before.EntryBytes)
+	large := float64(after.PartBytes-before.PartBytes) / float64(after.EntryBytes-before.EntryBytes)
+	if small < 1 || large > 0.75 {
+		t.Errorf("checkpoints take %.2f of what entries do in the first ring, %.2f in the large one", small, large)
+	}
+	m.w.SetLarge(false)
+	write(500)
+	if m.w.Head().Ring != 0 || earlier() != nil {
+		t.Errorf("head %+v, earlier versions: %v", m.w.Head(), earlier())
+	}
+	if st, _, err := Read(s.named()); err != nil || len(st.Rigs) != machines {
+		t.Errorf("%d machines read, %v", len(st.Rigs), err)
+	}
+}
+
 // TestDamagedLog: a value that counts and can't be read stops the takeover and
 // is named; a foreign key is named and does no harm.
 func TestDamagedLog(t *testing.T) {
--- a/internal/leader/wal/writer.go
+++ b/internal/leader/wal/writer.go
@@ -62,6 +62,11 @@
 	// owed are changes that the checkpoint's share has come to and not got yet.
 	owed  float64
 	stats Stats
+	// large is set while entries may stand in the large ring, which has so many slots
+	// and is used for checkpoints of more than so many parts.
+	large      bool
+	largeRing  uint64
+	largeParts int
 }
 
 type change struct {
@@ -69,6 +74,8 @@
 	stood []func()
 	// addFns are called for their attempts once these stand.
 	addFns map[Attempt]func()
+	// inPart is set if a part of a checkpoint holds what this says: it overtook it.
+	inPart bool
 }
 
 type checkpoint struct {
@@ -83,6 +90,8 @@
 	first int
 	ready bool
 	over  func()
+	// wrote is called with each machine that a part holds.
+	wrote func(machine string)
 }
 
 // Txn is one transaction. It is sent with the same contents until its fate is
@@ -105,6 +114,7 @@
 // NewWriter goes on behind the head that was read, with its revision.
 func NewWriter(term uint64, lim Limits, head Head, stamp uint64) *Writer {
 	return &Writer{term: term, lim: lim, head: head, stamp: stamp,
+		largeRing: tuning.LogRingLarge, largeParts: tuning.LogRing / tuning.LargeRingParts,
 		changes: make(map[string]*change), done: make(map[string][]int)}
 }
 
@@ -139,11 +149,12 @@
 	c := w.change(rig)
 	for i, b := range c.Add {
 		if b == a {
-			// Never logged. A checkpoint may hold it already; a later term
-			// then finds it absent from its machine.
+			// Never logged: it need not be, unless a part has overtaken it.
 			c.Add = append(c.Add[:i:i], c.Add[i+1:]...)
 			delete(c.addFns, a)
-			return
+			if !c.inPart {
+				return
+			}
 		}
 	}
 	c.Del = append(c.Del, a)
@@ -214,7 +225,14 @@
 	if w.flight != nil {
 		from = w.flight.head.Next
 	}
-	w.check = &checkpoint{area: area, from: from, rigs: rigs, total: len(rigs), jobs: jobs, src: src, over: over}
+	w.check = &checkpoint{area: area, from: from, rigs: rigs, total: len(rigs), jobs: jobs, src: src, over: over, wrote: w.overtaken}
+}
+
+// overtaken notes that a part holds what waits to be recorded of a machine.
+func (w *Writer) overtaken(machine string) {
+	if c := w.changes[machine]; c != nil {
+		c.inPart = true
+	}
 }
 
 // Next freezes a transaction of what is pending, with the extras in front.
@@ -232,15 +250,16 @@
 			size += len(x.V) + 200
 		}
 	}
+	w.chooseRing(&t.head)
 	partOps := w.partShare(w.lim.Ops - ops)
 	entryBytes := tuning.TxnBytes - (tuning.TxnBytes-size)*partOps/max(w.lim.Ops-ops, 1)
 	// The ring must never run into the entries that still count.
-	for ops < w.lim.Ops-partOps && size < entryBytes && w.Backlog()+len(t.values) < tuning.LogRing-tuning.LogSlack {
+	for ops < w.lim.Ops-partOps && size < entryBytes && w.mayAdd(t.head, len(t.values)) {
 		v, stood := w.take(t.head.Next)
 		if v == nil {
 			break
 		}
-		t.values = append(t.values, ledger.Write{Set: ringKey(t.head.Next), V: v})
+		t.values = append(t.values, ledger.Write{Set: t.head.entryKey(t.head.Next), V: v})
 		w.stats.Entries++
 		w.stats.EntryBytes += uint64(len(v))
 		t.stood = append(t.stood, stood...)
@@ -278,17 +297,71 @@
 	return t
 }
 
+// mayAdd tells whether the ring has room for an entry on top of so many: it must never
+// run into the entries that still count. While the large ring is given up no entry is
+// written, so that none counts when the checkpoint stands.
+func (w *Writer) mayAdd(h Head, added int) bool {
+	if w.giveUpLarge(h) {
+		return false
+	}
+	return w.Backlog()+added < min(w.head.ring(), h.ring())-tuning.LogSlack
+}
+
+// SetLarge says whether entries may stand in the large ring. It is used once the
+// checkpoint is so large that it would have to be written again and again in the other.
+func (w *Writer) SetLarge(allowed bool) { w.large = allowed }
+
+// WantsLarge tells whether the checkpoint is too large for the ring that all versions
+// read.
+func (w *Writer) WantsLarge() bool {
+	return w.head.Ring == 0 && w.head.Parts > w.largeParts
+}
+
+// giveUpLarge tells whether the large ring is in use and may not be any more.
+func (w *Writer) giveUpLarge(h Head) bool { return h.Ring > 0 && !w.large }
+
+// chooseRing moves to the large ring once that is allowed and wanted, and back when
+// nothing in it counts any more.
+func (w *Writer) chooseRing(h *Head) {
+	switch {
+	case w.large && w.WantsLarge():
+		h.Ring, h.RingFrom = w.largeRing, h.Next
+	case w.giveUpLarge(*h) && h.From == h.Next:
+		h.Ring, h.RingFrom = 0, 0
+	}
+}
+
+// CheckpointDue tells whether the next checkpoint should be begun: a takeover should
+// have little to read on top of the last one, but writing one anew must not take more
+// than what it saves.
+func (w *Writer) CheckpointDue() bool {
+	if w.check != nil {
+		return false
+	}
+	return w.Backlog() > w.checkpointAfter() || w.giveUpLarge(w.head) && w.Backlog() > 0
+}
+
+// checkpointAfter is how many entries may be read on top of a checkpoint before the
+// next is begun. As many may come on top while it is written.
+func (w *Writer) checkpointAfter() int {
+	half := int(float64(w.head.ring()) * tuning.LogFill / 2)
+	return max(tuning.CheckpointAfter, min(tuning.CheckpointWorth*w.head.Parts, half))
+}
+
 // partShare is how many of so many changes of a transaction are kept for parts of the
-// checkpoint: as many as it takes for the checkpoint to stand when the ring comes to be
-// full, if entries fill what is left. With few changes a transaction a steady flow of
+// checkpoint: as many as it takes for the checkpoint to stand when there are twice as
+// many entries as it was begun at, if entries fill what is left. With few changes a transaction a steady flow of
 // entries and ended jobs would leave it no room until the ring is full, and then
 // nothing could start until it stands.
 func (w *Writer) partShare(changes int) int {
-	if w.check == nil || w.check.ready || changes <= 0 {
+	switch {
+	case w.check == nil || w.check.ready || changes <= 0:
 		return 0
+	case w.giveUpLarge(w.head):
+		return changes
 	}
 	parts := float64(w.check.left(w.head.Parts))
-	entries := max(float64(tuning.LogRing)*tuning.LogFill-float64(w.Backlog()), 0)
+	entries := float64(max(2*w.checkpointAfter()-w.Backlog(), 0))
 	w.owed += float64(changes) * parts / (parts + entries)
 	share := min(int(w.owed), changes)
 	w.owed = min(w.owed-float64(share), float64(w.lim.Ops))
@@ -412,6 +485,7 @@
 				return marshal(p)
 			}
 			p.Rigs[c.rigs[0]] = raw
+			c.wrote(c.rigs[0])
 			room -= len(raw) + len(c.rigs[0]) + 4
 		}
 		c.rigs = c.rigs[1:]
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -53,6 +53,15 @@
 	Cancelled []string
 }
 
+// FormatsArgs asks which stored formats a node's version reads.
+type FormatsArgs struct{}
+
+// FormatsReply is the answer. A version that does not know the question fails it.
+type FormatsReply struct {
+	// LogRing is the largest ring of log entries that it reads (entries).
+	LogRing uint64
+}
+
 // Source answers for the local node.
 type Source interface {
 	// Vouch names the jobs that this process has told users, within so long a
@@ -112,6 +121,12 @@
 	return err
 }
 
+// Formats answers another node.
+func (s *service) Formats(_ FormatsArgs, reply *FormatsReply) error {
+	reply.LogRing = tuning.LogRingLarge
+	return nil
+}
+
 // Serve answers other nodes on l until ctx ends. It keeps so many connections at
 // most: the oldest makes room, as it may well be left from before a cut, with
 // nobody at its other end to close it.
@@ -289,6 +304,15 @@
 	return reply.Cancelled, reply.OK
 }
 
+// Formats asks which stored formats a node's version reads.
+func (p *Peers) Formats(ctx context.Context, label string) (FormatsReply, error) {
+	reply := new(FormatsReply)
+	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Formats", FormatsArgs{}, reply); err != nil {
+		return FormatsReply{}, err
+	}
+	return *reply, nil
+}
+
 // Relay has a node serve a user's request.
 func (p *Peers) Relay(ctx context.Context, label string, req RelayArgs) (RelayReply, error) {
 	reply := new(RelayReply)
--- a/internal/node/large_fleet_test.go
+++ b/internal/node/large_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -13,7 +14,9 @@
 
 	"thornnotch/internal/config"
 	"thornnotch/internal/intake"
+	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/standin"
+	"thornnotch/internal/tuning"
 )
 
 // largeFleet is 4,000 machines under three nodes, whose state service takes small
@@ -28,6 +31,43 @@
 	return lay
 }
 
+// logHead is the head of the leader's log as it stands.
+func (s *site) logHead() (head wal.Head) {
+	_ = json.Unmarshal(s.state.Value(wal.HeadKey), &head)
+	return head
+}
+
+// TestLargeRingNeedsAllNodes: as long as one node is away, or runs a version that does
+// not say that it reads the large ring, nobody takes it that all do.
+func TestLargeRingNeedsAllNodes(t *testing.T) {
+	meetOnce(t, small(), 13, nil, func(m *scene) {
+		reads := func() bool { return m.nodes[m.leader()].node.readsLargeRing(m.crowd.ctx) }
+		m.until(5*time.Second, "all nodes' word", reads)
+		for label := range m.nodes {
+			if label != m.leader() {
+				m.kill(label)
+				break
+			}
+		}
+		if reads() {
+			t.Error("a node that is away was counted on")
+		}
+		for i := range m.layout.nodes {
+			if m.nodes[fmt.Sprint("rig-", i)] == nil {
+				m.start(i)
+			}
+		}
+		m.until(10*time.Second, "all nodes' word again", reads)
+		leader := m.nodes[m.leader()].node
+		others := leader.set.Known
+		leader.set.Known = others[:1]
+		if reads() {
+			t.Error("a node that the settings do not name was counted on")
+		}
+		leader.set.Known = others
+	})
+}
+
 // TestLargeFleet takes 4,000 machines through what moves all of them at once: the
 // leader ends; a zone with a third of the machines and a node is cut off for longer
 // than the lease, and comes back; all nodes end; half of all jobs are cancelled
@@ -62,6 +102,7 @@
 		}
 		s.until(3*time.Minute, "all tasks running", func() bool { return len(s.running()) == jobs*tasks })
 		s.until(time.Minute, "all workers heard", func() bool { return s.workersHeard() == lay.machines })
+		s.until(2*time.Minute, "the log in the large ring", func() bool { return s.logHead().Ring == tuning.LogRingLarge })
 		before := s.running()
 
 		label := s.leader()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,7 +198,7 @@
 	set.Params.State = n.limits.within(set.Params.State)
 	l := leader.New(leader.Deps{
 		Settings: &set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(n.net.DialContext),
-		Catalog: n.catalog.Load, Drawn: n.store.Budget.Drawn, Vouch: n.allVouch, Log: n.log,
+		Catalog: n.catalog.Load, Drawn: n.store.Budget.Drawn, Vouch: n.allVouch, ReadsLargeRing: n.readsLargeRing, Log: n.log,
 	}, g)
 	n.store.Budget.SetShare(n.share(true))
 	n.leading.Store(l)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -161,6 +161,13 @@
 	// LogRing is the number of keys that log entries go round in. A takeover
 	// reads them all; at a few KiB each that is a few pages.
 	LogRing = 1024
+	// LogRingLarge is the same for large fleets, once no node is left that knows the
+	// other alone. LargeRingParts is which part of the other in parts a checkpoint must
+	// be larger than for that: it would be written again every few seconds.
+	LogRingLarge   = 8192
+	LargeRingParts = 4
+	// LargeRingAsk is the pause before all nodes are asked again which rings they read.
+	LargeRingAsk = 10 * time.Second
 	// LogFill is the part of the ring that may be full when a checkpoint stands.
 	LogFill = 0.9
 	// LogSlack is kept free in the ring for the entries of one transaction.
@@ -168,6 +175,9 @@
 	// CheckpointAfter is how many entries a takeover may have to read on top of
 	// the last checkpoint before the next is begun.
 	CheckpointAfter = 320
+	// CheckpointWorth times the parts of the last checkpoint is the same where that is
+	// more: then checkpoints take half of what entries do (times).
+	CheckpointWorth = 2
 	// TxnBytes bounds the values of one transaction; the state service takes
 	// 64 KiB with all names and conditions.
 	TxnBytes = 36 << 10
