Bounds that 4,000 machines reach: renewals, stops beside a cut, cancellations vouched for

Renewals and watches have connections of their own; direct orders to machines that have not been heard take half of the places at most; how many cancellations are remembered follows the state service's rate.

--- a/internal/config/sizing.go
+++ b/internal/config/sizing.go
@@ -9,7 +9,7 @@
 
 // socketsKept is how many sockets the calls of a node with so many others take.
 func socketsKept(known int) int {
-	return tuning.StateConns + tuning.CloudConns + tuning.CommandsAtOnce + tuning.CommandsIdle +
+	return tuning.StateConns + tuning.StateLeaseConns + tuning.CloudConns + tuning.CommandsAtOnce + tuning.CommandsIdle +
 		known*(1+tuning.MeshConnsPerNode) + tuning.SocketMargin
 }
 
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -54,6 +54,11 @@
 	submits chan struct{}
 }
 
+// vouchesKept is how many cancellations are remembered at so many changes a second.
+func vouchesKept(writeRPS float64) int {
+	return max(tuning.VouchLeast, int(writeRPS*tuning.VouchMemory.Seconds()))
+}
+
 // NewServer makes the users' interface. submits is how many submissions it takes
 // at once.
 func NewServer(store Store, teams []config.Team, state config.State, submits int, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
@@ -61,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals, cancelled: vouch.NewMemory(tuning.VouchMost, time.Now()),
+	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals, cancelled: vouch.NewMemory(vouchesKept(state.WriteRPS), time.Now()),
 		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(state.TxnOps, 1),
 		ops: max(state.TxnOps, 1), valueBytes: int(state.ValueKB * 1024),
 		submits: make(chan struct{}, max(submits, 1))}, nil
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -114,13 +114,15 @@
 	teams         []config.Team
 	book          *reserve.Book
 	attempts      attemptNumbers
-	commanding    int  // direct orders under way
-	dirty         bool // a placement pass is due
-	lastPass      time.Time
-	lastSummary   time.Time
-	committer     committer
-	market        marketState
-	certainty     time.Duration
+	commanding    int // direct orders under way
+	// commandingSilent are those of them to workers that have not been heard lately.
+	commandingSilent int
+	dirty            bool // a placement pass is due
+	lastPass         time.Time
+	lastSummary      time.Time
+	committer        committer
+	market           marketState
+	certainty        time.Duration
 	// beat is when the routine last went round. wokeAt is when it last went on
 	// after it had stood still, and unproven is set from then on until the
 	// state service has said that the term still lasts.
--- a/internal/leader/rig.go
+++ b/internal/leader/rig.go
@@ -259,22 +259,33 @@
 // late, so only stops go this way: a late stop names an attempt that is never
 // started again.
 //
-// So many are under way at once at most, and half of these are for stops
-// alone: a node has few sockets beside those of its workers. It reports false
-// when the order has to wait for others.
+// So many are under way at once at most, half of these for stops alone and half for
+// workers that have been heard of late: a node has few sockets beside those of its
+// workers. It reports false when the order has to wait for others.
 func (l *Leader) command(r *rig, orders []fleet.Order, now time.Time) bool {
 	if r.m.Endpoint == "" || r.m.Shift == 0 || r.calling && len(orders) == 0 {
 		return true
 	}
+	silent := l.silent(r, now) > l.quiet()
 	most := tuning.CommandsAtOnce
 	if len(orders) == 0 {
 		most /= 2
 	}
-	if l.commanding >= most {
+	if l.commanding >= most || silent && l.commandingSilent >= tuning.CommandsSilent {
 		l.counts.Postponed++
 		return false
 	}
 	l.commanding++
+	if silent {
+		l.commandingSilent++
+	}
+	answered := func() {
+		r.calling = false
+		l.commanding--
+		if silent {
+			l.commandingSilent--
+		}
+	}
 	r.called = now
 	r.calling = true
 	l.counts.Commands++
@@ -287,11 +298,11 @@
 		rep, err := l.d.Workers.Command(l.ctx, endpoint, a)
 		if err != nil || rep == nil {
 			l.d.Log.Debug("direct order failed", "rig", r.m.Name, "err", err)
-			l.do(l.ctx, func() { r.calling, l.commanding = false, l.commanding-1 })
+			l.do(l.ctx, answered)
 			return nil
 		}
 		l.do(l.ctx, func() {
-			r.calling, l.commanding = false, l.commanding-1
+			answered()
 			if l.rigs[r.m.Name] == r && rep.Rig == r.m.Name {
 				l.observe(r, rep, true, time.Now())
 			}
--- a/internal/leader/stall_test.go
+++ b/internal/leader/stall_test.go
@@ -7,7 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"thornnotch/internal/config"
 	"thornnotch/internal/fleet"
+	"thornnotch/internal/intake"
 	"thornnotch/internal/ledger"
 	"thornnotch/internal/market"
 	"thornnotch/internal/tuning"
@@ -167,6 +169,60 @@
 	}
 }
 
+// TestStopsReachThoseThatCanBeReached: a cut has taken away hundreds of machines with
+// cancelled tasks, and direct orders to them hang. A gang elsewhere that is told to
+// save must be told all of it within seconds, or the save fails.
+func TestStopsReachThoseThatCanBeReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		l := testLeader(t)
+		offline(t, l)
+		l.teams = []config.Team{{Name: "a", GPUs: 10000, GPUsMax: 10000}}
+		hang := make(chan struct{})
+		l.d.Workers = hanging(hang)
+		const machines, gang = 500, 20
+		for i := range machines {
+			addRig(l, fmt.Sprintf("m-%04d", i), "west", now).m.Endpoint = "x"
+		}
+		addJob(t, l, sweep("j-1", 4*machines), now)
+		for range 6 {
+			l.pass(now)
+			settle(l, 100)
+		}
+		for _, r := range l.rigs {
+			r.m.Orders(true, now)
+		}
+		now = now.Add(l.quiet() + time.Second)
+		for i := range gang {
+			addRig(l, fmt.Sprintf("m-9%03d", i), "east", now).m.Endpoint = "x"
+		}
+		spec := sweep("j-2", gang)
+		spec.Shape, spec.Accelerators = intake.Gang, 4
+		j := addJob(t, l, spec, now)
+		l.pass(now)
+		settle(l, 1000)
+		for _, s := range sortedSeats(j) {
+			s.rig.m.Orders(true, now)
+		}
+		if len(j.seats) != gang {
+			t.Fatalf("%d tasks of the gang placed", len(j.seats))
+		}
+		l.jobGone("j-1", now)
+		if l.commanding != tuning.CommandsSilent {
+			t.Errorf("%d orders under way to machines that are cut off", l.commanding)
+		}
+		l.haltGang(j, 10, now)
+		if told := l.commanding - tuning.CommandsSilent; told != gang {
+			t.Errorf("%d of %d tasks of the gang are told at once", told, gang)
+		}
+		close(hang)
+		run(l)
+		if l.commanding != 0 || l.commandingSilent != 0 {
+			t.Errorf("%d and %d places never came free", l.commanding, l.commandingSilent)
+		}
+	})
+}
+
 type hanging chan struct{}
 
 func (h hanging) Command(context.Context, string, fleet.Answer) (*fleet.Report, error) {
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -81,10 +81,12 @@
 
 // Client is safe for use by many routines.
 type Client struct {
-	base   string
-	http   *http.Client
-	Budget *Budget
-	health health
+	base string
+	// http carries all calls but those that the lead depends on, which have
+	// connections of their own: they must not wait for polls that hang.
+	http, lease *http.Client
+	Budget      *Budget
+	health      health
 	// patience bounds transactions.
 	patience patience
 	// Limited, if set, is called with each refusal for too many calls.
@@ -156,22 +158,21 @@
 
 // New makes a client of the service at addr, reached through dial.
 func New(addr string, budget *Budget, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
-	return &Client{
-		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{
+	pool := func(conns int) *http.Client {
+		return &http.Client{Transport: &http.Transport{
 			DialContext:         dial,
-			MaxConnsPerHost:     tuning.StateConns,
-			MaxIdleConnsPerHost: tuning.StateConns,
+			MaxConnsPerHost:     conns,
+			MaxIdleConnsPerHost: conns,
 			DisableCompression:  true,
-		}},
-		Budget: budget,
+		}}
 	}
+	return &Client{base: "http://" + addr, http: pool(tuning.StateConns), lease: pool(tuning.StateLeaseConns), Budget: budget}
 }
 
 // call sends one request and decodes a 200 into out. Other statuses come
 // back as they are.
-func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) (int, []byte, error) {
-	status, raw, err := c.send(ctx, timeout, method, path, in, out)
+func (c *Client) call(ctx context.Context, class Class, timeout time.Duration, method, path string, in, out any) (int, []byte, error) {
+	status, raw, err := c.send(ctx, class, timeout, method, path, in, out)
 	// What the caller gave up itself, and a refusal for too many calls, say
 	// nothing of the service.
 	if ctx.Err() == nil && status != http.StatusTooManyRequests {
@@ -183,7 +184,7 @@
 	return status, raw, err
 }
 
-func (c *Client) send(ctx context.Context, timeout time.Duration, method, path string, in, out any) (int, []byte, error) {
+func (c *Client) send(ctx context.Context, class Class, timeout time.Duration, method, path string, in, out any) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var body io.Reader
@@ -198,7 +199,11 @@
 	if err != nil {
 		return 0, nil, fmt.Errorf("%s %s: %w", method, path, err)
 	}
-	resp, err := c.http.Do(req)
+	pool := c.http
+	if class == Lease {
+		pool = c.lease
+	}
+	resp, err := pool.Do(req)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%s %s: %w: %w", method, path, ErrUnknown, err)
 	}
@@ -230,7 +235,7 @@
 		return Row{}, false, fmt.Errorf("get %s: %w: %w", key, ErrUnavailable, err)
 	}
 	path := "/store/" + key
-	status, raw, err := c.call(ctx, tuning.StateTimeout, http.MethodGet, path, nil, &row)
+	status, raw, err := c.call(ctx, class, tuning.StateTimeout, http.MethodGet, path, nil, &row)
 	switch {
 	case err != nil:
 		return Row{}, false, err
@@ -260,7 +265,7 @@
 			HasNext bool   `json:"hasNext"`
 			Epoch   uint64 `json:"epoch"`
 		}
-		status, raw, err := c.call(ctx, 2*tuning.StateTimeout, http.MethodGet, path, nil, &page)
+		status, raw, err := c.call(ctx, class, 2*tuning.StateTimeout, http.MethodGet, path, nil, &page)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -296,7 +301,7 @@
 		timeout = c.patience.next()
 	}
 	asked := time.Now()
-	status, raw, err := c.call(ctx, timeout, http.MethodPost, "/multi", in, &out)
+	status, raw, err := c.call(ctx, class, timeout, http.MethodPost, "/multi", in, &out)
 	switch {
 	case ctx.Err() != nil:
 		// Its caller gave up; that says nothing.
@@ -337,7 +342,7 @@
 	var out struct {
 		Tenure uint64 `json:"tenure"`
 	}
-	status, raw, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, "/holds", in, &out)
+	status, raw, err := c.call(ctx, Lease, tuning.StateTimeout, http.MethodPost, "/holds", in, &out)
 	if err != nil {
 		return 0, err
 	}
@@ -353,7 +358,7 @@
 		return fmt.Errorf("renew: %w: %w", ErrUnavailable, err)
 	}
 	path := fmt.Sprintf("/holds/%d/touch", tenure)
-	status, raw, err := c.call(ctx, tuning.LeaseRenew, http.MethodPost, path, nil, nil)
+	status, raw, err := c.call(ctx, Lease, tuning.LeaseRenew, http.MethodPost, path, nil, nil)
 	switch {
 	case err != nil:
 		return err
@@ -368,7 +373,7 @@
 // Release ends a lease at once, as on an orderly shutdown.
 func (c *Client) Release(ctx context.Context, tenure uint64) error {
 	path := fmt.Sprintf("/holds/%d", tenure)
-	_, _, err := c.call(ctx, tuning.StateTimeout, http.MethodDelete, path, nil, nil)
+	_, _, err := c.call(ctx, Lease, tuning.StateTimeout, http.MethodDelete, path, nil, nil)
 	return err
 }
 
@@ -390,7 +395,7 @@
 	}
 	// An open watch stays open through an outage, so a watch that is late is
 	// given up and asked again.
-	status, raw, err := c.call(ctx, block+2*tuning.StateTimeout, http.MethodGet, path, nil, &out)
+	status, raw, err := c.call(ctx, Lease, block+2*tuning.StateTimeout, http.MethodGet, path, nil, &out)
 	switch {
 	case err != nil:
 		return 0, nil, err
--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -94,3 +95,33 @@
 		}
 	})
 }
+
+// TestRenewalsDoNotWaitForOthers: however many transactions hang, those that the lead
+// depends on find a connection at once.
+func TestRenewalsDoNotWaitForOthers(t *testing.T) {
+	hang := make(chan struct{})
+	var hanging sync.WaitGroup
+	hanging.Add(tuning.StateConns)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/multi" {
+			hanging.Done()
+			<-hang
+		}
+		_, _ = w.Write([]byte(`{"tenure":7}`))
+	}))
+	defer srv.Close()
+	c := New(strings.TrimPrefix(srv.URL, "http://"), NewBudget(10000, 10000), new(net.Dialer).DialContext)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer close(hang)
+	for range tuning.StateConns {
+		calls.Go(func() { _, _ = c.Multi(t.Context(), Poll, nil, nil) })
+	}
+	hanging.Wait() // all their connections are taken
+	if err := c.Renew(t.Context(), 7); err != nil {
+		t.Errorf("renewal: %v", err)
+	}
+	if _, err := c.Acquire(t.Context(), time.Second); err != nil {
+		t.Errorf("acquisition: %v", err)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -32,9 +32,11 @@
 	// than it was asked for.
 	VouchMargin = 2 * time.Second
 	VouchLate   = 1500 * time.Millisecond
-	// VouchMost is how many cancellations a node remembers to vouch for; some
-	// hours' worth, 64 bytes each.
-	VouchMost = 8192
+	// VouchMemory is for how long a node remembers the cancellations that it vouches
+	// for, if all changes that the state service allows were some; VouchLeast is how
+	// many at the least (some 64 bytes each).
+	VouchMemory = 5 * time.Minute
+	VouchLeast  = 8192
 	// ClockDrift is the largest relative difference between two steady
 	// clocks: the protocol's 0.05 % on each side, doubled for safety.
 	ClockDrift = 0.002
@@ -81,6 +83,9 @@
 	DialTimeout = 4 * time.Second
 	// StateConns is the number of connections a node keeps to the service.
 	StateConns = 24
+	// StateLeaseConns is the number of those for what the lead depends on: renewals,
+	// elections, two watches, and the readings of a takeover.
+	StateLeaseConns = 6
 	// LeaderShare and LeaderWriteShare are the leader's parts of the request
 	// and write budgets; the other nodes share the rest. The leader writes
 	// every start and finish, while all nodes answer polls alike.
@@ -428,7 +433,7 @@
 	CondsPerOp = 4
 	// PollBatches bounds the transactions that settle polls, at once: their number a
 	// second is bounded by the tokens, and each may take half a second to be given up.
-	PollBatches = 16
+	PollBatches = 8
 	// AskReads bounds the single reads that settle polls whose proof failed,
 	// at once.
 	AskReads = 4
@@ -487,6 +492,10 @@
 	// CommandsAtOnce bounds the direct orders under way: in a cut-off zone each
 	// hangs until its time is over, and every one takes a socket.
 	CommandsAtOnce = 96
+	// CommandsSilent bounds those of them to workers that have not been heard for a
+	// while, which most likely hang: stops for a gang must reach all of it in seconds,
+	// however many machines a cut has taken away.
+	CommandsSilent = CommandsAtOnce / 2
 	// CommandsIdle bounds the connections to workers that are kept for the next
 	// order: with hundreds of workers one a worker would be too many.
 	CommandsIdle = 32
