--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -80,6 +80,75 @@
 	})
 }
 
+// crowded makes a leader of a site where far more waits than there is room for: gangs of
+// whole machines, urgent and not, and sweeps of small tasks, of several teams.
+func crowded(b testing.TB, machines int) (*Leader, []*rig) {
+	now := time.Now()
+	l := testLeader(b)
+	l.teams = nil
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		l.teams = append(l.teams, config.Team{Name: name, GPUs: 0.5 * float64(machines), GPUsMax: 2 * float64(machines)})
+	}
+	l.d.Settings.Params.Teams = l.teams
+	offline(b, l)
+	l.sure = now
+	var list []*rig
+	for i := range machines {
+		r := addRig(l, fmt.Sprintf("m-%06d", i), []string{"east", "west"}[i%2], now)
+		r.m.Spot = i%5 < 2
+		list = append(list, r)
+	}
+	for i := range machines / 4 {
+		j := sweep(fmt.Sprintf("j-%06d", i), 50)
+		j.Owner = l.teams[i%len(l.teams)].Name
+		j.Bundle = fmt.Sprint("img-", i%14)
+		switch i % 5 {
+		case 0:
+			j.Workload, j.Shape, j.Pieces, j.SamePlace, j.Loaners = "train", intake.Gang, 1<<(i/5%5), true, false
+			j.VCPUs, j.Accelerators = 28, 4
+		case 1, 2:
+			j.Workload, j.Shape, j.Pieces, j.SamePlace, j.Loaners = "urgent", intake.Gang, 1<<(i/5%3), true, false
+			j.VCPUs, j.Accelerators, j.Urgency = 28, 4, "urgent"
+		}
+		addJob(b, l, j, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	for range 5 {
+		l.dirty = true
+		l.pass(now)
+		settle(l, 100)
+	}
+	for _, r := range list {
+		r.m.Orders(true, now)
+	}
+	return l, list
+}
+
+// BenchmarkCrowdedPass is a placement pass where most of what waits finds no room.
+func BenchmarkCrowdedPass(b *testing.B) {
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, list := crowded(b, machines)
+		now := time.Now()
+		waiting := 0
+		for _, j := range l.jobs {
+			if len(j.seats) < j.spec.Pieces {
+				waiting++
+			}
+		}
+		b.ResetTimer()
+		for i := range b.N {
+			now = now.Add(60 * time.Millisecond)
+			for k := range 20 {
+				l.touch(list[(i*20+k)%len(list)])
+			}
+			for _, r := range list {
+				r.m.Heard = now
+			}
+			l.pass(now)
+		}
+		b.ReportMetric(float64(waiting), "jobs-waiting")
+	})
+}
+
 // BenchmarkChurn is a placement pass with what comes between two: tasks that
 // end on some machines, the record, and starts in their place.
 func BenchmarkChurn(b *testing.B) {
