--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -13,9 +13,9 @@
 	"text/tabwriter"
 	"time"
 
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/node"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/userapi"
 )
 
 // client is what the commands that talk to a running node share.
@@ -32,7 +32,7 @@
 }
 
 func (c client) call(method, path string, body []byte) (answer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.ClientTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), constants.ClientTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Node+path, bytes.NewReader(body))
 	if err != nil {
@@ -78,7 +78,7 @@
 		_, err := os.Stdout.Write(a.body)
 		return err
 	}
-	var st intake.State
+	var st userapi.State
 	if err := json.Unmarshal(a.body, &st); err != nil {
 		return fmt.Errorf("unreadable answer: %w", err)
 	}
@@ -105,14 +105,14 @@
 	var raw []byte
 	var err error
 	if c.File == "-" {
-		raw, err = io.ReadAll(io.LimitReader(os.Stdin, tuning.BodyMax+1))
+		raw, err = io.ReadAll(io.LimitReader(os.Stdin, constants.BodyMax+1))
 	} else {
 		raw, err = os.ReadFile(c.File)
 	}
 	if err != nil {
 		return err
 	}
-	j, err := intake.DecodeJob(raw)
+	j, err := userapi.DecodeJob(raw)
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
@@ -231,7 +231,7 @@
 	if len(c.Holds) > 0 {
 		fmt.Fprintln(w, "\nHELD ON\tTEAM\tCLASS\tFOR JOB\tCPUS\tGPUS\tLAPSES IN")
 		for _, h := range c.Holds {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f\t%.0f\t%v\n", h.Rig, h.Team, h.Class, h.Job, h.CPUs, h.GPUs, time.Duration(h.LapsesIn*float64(time.Second)).Round(time.Second))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f\t%.0f\t%v\n", h.Machine, h.Team, h.Class, h.Job, h.CPUs, h.GPUs, time.Duration(h.LapsesIn*float64(time.Second)).Round(time.Second))
 		}
 	}
 }
--- a/cmd/thornnotch/main.go
+++ b/cmd/thornnotch/main.go
@@ -15,9 +15,9 @@
 	"github.com/alecthomas/kong"
 
 	"thornnotch/internal/config"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/node"
 	"thornnotch/internal/standin"
-	"thornnotch/internal/tuning"
 )
 
 // version is set at release with -ldflags.
@@ -68,7 +68,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	node.FitMachine(set.Params.Limits)
-	network := node.System{Dialer: &net.Dialer{Timeout: tuning.DialTimeout}}
+	network := node.System{Dialer: &net.Dialer{Timeout: constants.DialTimeout}}
 	return node.New(set, op, network, log).Run(ctx)
 }
 
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	for _, w := range set.Warnings(tuning.WorkersLeast) {
+	for _, w := range set.Warnings(constants.WorkersLeast) {
 		fmt.Println("warning:", w)
 	}
 	fmt.Println("the settings are good")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,7 +9,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/parser"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // Operator holds the operators' own settings. Every field has a default, so
@@ -64,9 +64,9 @@
 // DefaultOperator is what holds without a file.
 func DefaultOperator() Operator {
 	return Operator{
-		Holds:   HoldSettings{Enabled: true, Alpha: tuning.HoldAlpha, P: tuning.HoldP, Threshold: tuning.HoldThreshold},
-		Budgets: BudgetSettings{LeaderShare: tuning.LeaderShare, LeaderWriteShare: tuning.LeaderWriteShare, Use: tuning.BudgetUse},
-		Renting: RentSettings{Spare: tuning.RentSpare, Keep: tuning.KeepSpare},
+		Holds:   HoldSettings{Enabled: true, Alpha: constants.HoldAlpha, P: constants.HoldP, Threshold: constants.HoldThreshold},
+		Budgets: BudgetSettings{LeaderShare: constants.LeaderShare, LeaderWriteShare: constants.LeaderWriteShare, Use: constants.BudgetUse},
+		Renting: RentSettings{Spare: constants.RentSpare, Keep: constants.KeepSpare},
 		Log:     LogSettings{LargeRing: true},
 	}
 }
--- a/internal/config/sizing.go
+++ b/internal/config/sizing.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"math"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // socketsKept is how many sockets the calls of a node with so many others take.
 func socketsKept(known int) int {
-	return tuning.StateConns + tuning.StateLeaseConns + tuning.CloudConns + tuning.CommandsAtOnce + tuning.CommandsIdle +
-		known*(1+tuning.MeshConnsPerNode) + tuning.SocketMargin
+	return constants.StateConns + constants.StateLeaseConns + constants.CloudConns + constants.CommandsAtOnce + constants.CommandsIdle +
+		known*(1+constants.MeshConnsPerNode) + constants.SocketMargin
 }
 
 // SocketLimit is how many connections users and workers may have together: all
@@ -21,8 +21,8 @@
 	if all <= 0 {
 		return 0
 	}
-	kept := min(socketsKept(len(s.Known)), int(float64(all)*tuning.SocketsMostKept))
-	return max(tuning.SocketsLeast, all-kept)
+	kept := min(socketsKept(len(s.Known)), int(float64(all)*constants.SocketsMostKept))
+	return max(constants.SocketsLeast, all-kept)
 }
 
 // Fits tells how many workers one node can serve by its sockets and by its
@@ -30,10 +30,10 @@
 func (s *Settings) Fits() (bySockets, byMemory float64) {
 	bySockets, byMemory = math.Inf(1), math.Inf(1)
 	if n := s.SocketLimit(); n > 0 {
-		bySockets = max(0, float64(n-tuning.UsersLeast))
+		bySockets = max(0, float64(n-constants.UsersLeast))
 	}
 	if mb := s.Params.Limits.MemMB; mb > 0 {
-		byMemory = max(0, math.Floor((mb-tuning.MemoryOwnMB)/tuning.MemoryPerWorkerMB))
+		byMemory = max(0, math.Floor((mb-constants.MemoryOwnMB)/constants.MemoryPerWorkerMB))
 	}
 	return bySockets, byMemory
 }
@@ -45,11 +45,11 @@
 	need := float64(workers)
 	if bySockets < need {
 		out = append(out, fmt.Sprintf("params.machine_limits.sockets: %d leave room for %.0f workers beside %d users and our own calls; %d are to be expected: all of them would take %d",
-			s.Params.Limits.Sockets, bySockets, tuning.UsersLeast, workers, workers+tuning.UsersLeast+socketsKept(len(s.Known))))
+			s.Params.Limits.Sockets, bySockets, constants.UsersLeast, workers, workers+constants.UsersLeast+socketsKept(len(s.Known))))
 	}
 	if byMemory < need {
 		out = append(out, fmt.Sprintf("params.machine_limits.mem_mb: %g are enough for %.0f workers; %d are to be expected: they would take about %.0f",
-			s.Params.Limits.MemMB, byMemory, workers, tuning.MemoryOwnMB+need*tuning.MemoryPerWorkerMB))
+			s.Params.Limits.MemMB, byMemory, workers, constants.MemoryOwnMB+need*constants.MemoryPerWorkerMB))
 	}
 	return out
 }
--- a/internal/config/sizing_test.go
+++ b/internal/config/sizing_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // TestSocketsForWorkers: what our own calls need is kept from users and workers;
@@ -17,7 +17,7 @@
 			s := &Settings{Known: make([]Peer, c.known)}
 			s.Params.Limits.Sockets = c.all
 			got := s.SocketLimit()
-			if got >= c.all || float64(c.workers) > tuning.SocketsFull*float64(got) {
+			if got >= c.all || float64(c.workers) > constants.SocketsFull*float64(got) {
 				t.Errorf("%d of %d sockets for %d workers and users", got, c.all, c.workers)
 			}
 			if kept := c.all - got; c.all > 1000 && kept < socketsKept(c.known) {
@@ -49,7 +49,7 @@
 		}
 	}
 	s.Params.Limits = Limits{Sockets: 20, MemMB: 20}
-	if w := s.Warnings(tuning.WorkersLeast); len(w) != 2 {
+	if w := s.Warnings(constants.WorkersLeast); len(w) != 2 {
 		t.Errorf("too little for anybody: %v", w)
 	}
 }
--- a/internal/vouch/vouch.go
+++ b/internal/confirmations/confirmations.go
@@ -1,4 +1,4 @@
-// Package vouch lets the nodes prove to a leader, without the state service, which
+// Package confirmations lets the nodes prove to a leader, without the state service, which
 // cancellations users have been told of.
 //
 // What a leader knows of cancellations comes from its watch on the state service.
@@ -8,13 +8,13 @@
 // a user is told by a process of some node. If the processes of all nodes name what
 // they have told since the watch's last proof, nothing is missing. The argument,
 // with all its conditions, is in docs/design.md (Safety, "The gap").
-package vouch
+package confirmations
 
 import (
 	"sync"
 	"time"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // Memory is what a process knows to be cancelled. A job is noted before any user
@@ -66,12 +66,12 @@
 // Span is for how long the nodes must vouch to reach back to the watch's last
 // proof, by their clocks and counted from when they answer.
 func Span(asked, watched time.Time) time.Duration {
-	return time.Duration(float64(asked.Sub(watched))*(1+tuning.ClockDrift)) + tuning.VouchMargin
+	return time.Duration(float64(asked.Sub(watched))*(1+constants.ClockDrift)) + constants.VouchMargin
 }
 
 // Late tells whether answers come too long after the question: they may reach
 // back less far than was asked for.
-func Late(asked, now time.Time) bool { return now.Sub(asked) > tuning.VouchLate }
+func Late(asked, now time.Time) bool { return now.Sub(asked) > constants.VouchLate }
 
 // Word is what one node answers; not OK if it can't say, or does not answer.
 type Word struct {
--- a/internal/vouch/vouch_test.go
+++ b/internal/confirmations/confirmations_test.go
@@ -1,4 +1,4 @@
-package vouch
+package confirmations
 
 import (
 	"fmt"
--- a/internal/tuning/tuning.go
+++ b/internal/constants/constants.go
@@ -1,7 +1,7 @@
-// Package tuning holds every constant of thornnotch in one place, each with
+// Package constants holds every constant of thornnotch in one place, each with
 // its unit and the reason for its value. What differs between deployments is
 // not here: it comes from the settings file, the catalog or measurement.
-package tuning
+package constants
 
 import "time"
 
@@ -202,10 +202,10 @@
 	// ChainStep is what lies between the end of a job and the start of the next one
 	// of a chain beside run times: a report, two records and an order's way.
 	ChainStep = 3 * time.Second
-	// FatesAtOnce bounds the final records that are read at once for jobs that wait
-	// for others; FateRetry is the pause after one could not be.
-	FatesAtOnce = 6
-	FateRetry   = 500 * time.Millisecond
+	// FinalReadsAtOnce bounds the final records that are read at once for jobs that wait
+	// for others; FinalReadRetry is the pause after one could not be.
+	FinalReadsAtOnce = 6
+	FinalReadRetry   = 500 * time.Millisecond
 	// AttemptBytes is what one attempt with its job takes at most in its
 	// machine's record; the value limit then bounds the attempts on a machine.
 	AttemptBytes = 176
@@ -389,14 +389,14 @@
 	// SilentReturn is how long past its lease a machine may stay silent
 	// before it is returned: long enough for a short cut to heal.
 	SilentReturn = 25 * time.Second
-	// DarkReturn is the same when most of a zone is silent, which is a cut and
-	// not the end of its machines; DarkLeast is how many that takes.
-	DarkReturn = 90 * time.Second
-	DarkLeast  = 3
-	// DarkAfter is how long a zone still counts as cut off once most of its
+	// UnreachableReturn is the same when most of a zone is silent, which is a cut and
+	// not the end of its machines; UnreachableLeast is how many that takes.
+	UnreachableReturn = 90 * time.Second
+	UnreachableLeast  = 3
+	// UnreachableAfter is how long a zone still counts as cut off once most of its
 	// machines are back: a worker that finds no answer goes round all nodes, a
 	// few seconds at each.
-	DarkAfter = 40 * time.Second
+	UnreachableAfter = 40 * time.Second
 	// BootPatience times the catalog's boot time is how long a machine may
 	// take to report before it is returned.
 	BootPatience = 3.0
--- a/internal/term/term.go
+++ b/internal/election/election.go
@@ -1,7 +1,7 @@
-// Package term elects the one leader: a lease in the state service says who
+// Package election elects the one leader: a lease in the state service says who
 // leads, a record whose number only rises says since when. The number is the
 // token of every order.
-package term
+package election
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/statestore"
 )
 
 // Keys of the election.
@@ -76,7 +76,7 @@
 
 // Campaign is the transaction that takes the lead: it raises the term, and
 // fails if anybody else did anything meanwhile.
-func (v View) Campaign(self string, tenure uint64) ([]ledger.Cond, []ledger.Write, uint64, error) {
+func (v View) Campaign(self string, tenure uint64) ([]statestore.Cond, []statestore.Write, uint64, error) {
 	next := v.Term + 1
 	lead, err := json.Marshal(Lead{self, next})
 	if err != nil {
@@ -86,8 +86,8 @@
 	if err != nil {
 		return nil, nil, 0, err
 	}
-	return []ledger.Cond{{K: LeadKey, Stamp: v.LeadStamp}, {K: NumberKey, Stamp: v.NumberStamp}},
-		[]ledger.Write{{Set: LeadKey, V: lead, Tenure: tenure}, {Set: NumberKey, V: number}}, next, nil
+	return []statestore.Cond{{K: LeadKey, Stamp: v.LeadStamp}, {K: NumberKey, Stamp: v.NumberStamp}},
+		[]statestore.Write{{Set: LeadKey, V: lead, Tenure: tenure}, {Set: NumberKey, V: number}}, next, nil
 }
 
 // Grant is the right to lead for one term.
@@ -98,9 +98,9 @@
 
 // Store is what the election needs of the state service.
 type Store interface {
-	List(ctx context.Context, class ledger.Class, prefix string) ([]ledger.Row, uint64, error)
-	Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (uint64, []ledger.Change, error)
-	Multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error)
+	List(ctx context.Context, class statestore.Class, prefix string) ([]statestore.Row, uint64, error)
+	Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (uint64, []statestore.Change, error)
+	Multi(ctx context.Context, class statestore.Class, when []statestore.Cond, writes []statestore.Write) (uint64, error)
 	Acquire(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, tenure uint64) error
 	Release(ctx context.Context, tenure uint64) error
@@ -143,7 +143,7 @@
 	for ctx.Err() == nil {
 		if err := e.round(ctx, lead); err != nil && ctx.Err() == nil {
 			e.log.Debug("election round ended", "err", err)
-			pause(ctx, tuning.BackoffMin)
+			pause(ctx, constants.BackoffMin)
 		}
 	}
 	return ctx.Err()
@@ -160,7 +160,7 @@
 }
 
 func (e *Elector) round(ctx context.Context, lead func(context.Context, Grant) error) error {
-	rows, epoch, err := e.store.List(ctx, ledger.Lease, Prefix)
+	rows, epoch, err := e.store.List(ctx, statestore.Lease, Prefix)
 	if err != nil {
 		return err
 	}
@@ -172,7 +172,7 @@
 	}
 	e.setView(v)
 	for !v.MayCampaign(e.self) {
-		next, log, err := e.store.Follow(ctx, Prefix, epoch, 10*tuning.WatchBlock)
+		next, log, err := e.store.Follow(ctx, Prefix, epoch, 10*constants.WatchBlock)
 		if err != nil {
 			return err
 		}
@@ -192,7 +192,7 @@
 }
 
 func (e *Elector) campaign(ctx context.Context, v View, lead func(context.Context, Grant) error) error {
-	tenure, err := e.store.Acquire(ctx, tuning.LeaseTTL)
+	tenure, err := e.store.Acquire(ctx, constants.LeaseTTL)
 	if err != nil {
 		return err
 	}
@@ -200,9 +200,9 @@
 	if err != nil {
 		return err
 	}
-	stamp, err := e.store.Multi(ctx, ledger.Lease, when, writes)
+	stamp, err := e.store.Multi(ctx, statestore.Lease, when, writes)
 	if err != nil {
-		var c *ledger.Conflict
+		var c *statestore.Conflict
 		if errors.As(err, &c) {
 			// Somebody else was faster: see who.
 			_ = e.store.Release(ctx, tenure)
@@ -233,14 +233,14 @@
 // nobody else has raised the term: safety rests on the term record, not on
 // the lease.
 func (e *Elector) keep(ctx context.Context, v View, tenure uint64) error {
-	tick := time.NewTicker(tuning.LeaseRenew)
+	tick := time.NewTicker(constants.LeaseRenew)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			if errors.Is(context.Cause(ctx), context.Canceled) {
 				// An orderly end: let another node lead at once.
-				done, cancel := context.WithTimeout(context.WithoutCancel(ctx), tuning.LeaseRenew)
+				done, cancel := context.WithTimeout(context.WithoutCancel(ctx), constants.LeaseRenew)
 				defer cancel()
 				_ = e.store.Release(done, tenure)
 			}
@@ -248,10 +248,10 @@
 		case <-tick.C:
 		}
 		err := e.store.Renew(ctx, tenure)
-		if !errors.Is(err, ledger.ErrNoLease) {
+		if !errors.Is(err, statestore.ErrNoLease) {
 			continue
 		}
-		fresh, err := e.store.Acquire(ctx, tuning.LeaseTTL)
+		fresh, err := e.store.Acquire(ctx, constants.LeaseTTL)
 		if err != nil {
 			continue
 		}
@@ -259,9 +259,9 @@
 		if err != nil {
 			return err
 		}
-		when := []ledger.Cond{{K: LeadKey}, {K: NumberKey, Stamp: v.NumberStamp}}
-		_, err = e.store.Multi(ctx, ledger.Lease, when, []ledger.Write{{Set: LeadKey, V: lead, Tenure: fresh}})
-		var c *ledger.Conflict
+		when := []statestore.Cond{{K: LeadKey}, {K: NumberKey, Stamp: v.NumberStamp}}
+		_, err = e.store.Multi(ctx, statestore.Lease, when, []statestore.Write{{Set: LeadKey, V: lead, Tenure: fresh}})
+		var c *statestore.Conflict
 		switch {
 		case errors.As(err, &c) && c.Has(NumberKey):
 			return errors.New("another node has raised the term")
--- a/internal/term/term_test.go
+++ b/internal/election/election_test.go
@@ -1,4 +1,4 @@
-package term
+package election
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"thornnotch/internal/ledger"
+	"thornnotch/internal/statestore"
 )
 
 // simStore is the part of the state service that an election sees. Campaigns
@@ -27,7 +27,7 @@
 	return View{Lead: s.lead, LeadStamp: s.leadS, Term: s.num.Term, NumberStamp: s.numS}
 }
 
-func (s *simStore) apply(when []ledger.Cond, writes []ledger.Write) bool {
+func (s *simStore) apply(when []statestore.Cond, writes []statestore.Write) bool {
 	for _, c := range when {
 		if c.K == LeadKey && c.Stamp != s.leadS || c.K == NumberKey && c.Stamp != s.numS {
 			return false
@@ -58,8 +58,8 @@
 		labels := []string{"a", "b", "c"}
 		type request struct {
 			who    string
-			when   []ledger.Cond
-			writes []ledger.Write
+			when   []statestore.Cond
+			writes []statestore.Write
 			term   uint64
 		}
 		var pending []request
@@ -124,20 +124,20 @@
 	gone   bool
 }
 
-func (s *lostStore) List(context.Context, ledger.Class, string) ([]ledger.Row, uint64, error) {
+func (s *lostStore) List(context.Context, statestore.Class, string) ([]statestore.Row, uint64, error) {
 	return nil, 1, nil
 }
 func (s *lostStore) Acquire(context.Context, time.Duration) (uint64, error) { return 1, nil }
 func (s *lostStore) Release(context.Context, uint64) error                  { return nil }
 func (s *lostStore) Renew(context.Context, uint64) error {
 	if s.gone {
-		return ledger.ErrNoLease
+		return statestore.ErrNoLease
 	}
 	return nil
 }
-func (s *lostStore) Multi(_ context.Context, _ ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error) {
+func (s *lostStore) Multi(_ context.Context, _ statestore.Class, when []statestore.Cond, writes []statestore.Write) (uint64, error) {
 	if len(writes) == 1 && s.raised {
-		return 0, &ledger.Conflict{Failed: []string{NumberKey}}
+		return 0, &statestore.Conflict{Failed: []string{NumberKey}}
 	}
 	return 2, nil
 }
--- a/internal/term/main_test.go
+++ b/internal/election/main_test.go
@@ -1,4 +1,4 @@
-package term
+package election
 
 import (
 	"os"
--- a/internal/leader/attempts.go
+++ b/internal/leader/attempts.go
@@ -1,6 +1,6 @@
 package leader
 
-import "thornnotch/internal/tuning"
+import "thornnotch/internal/constants"
 
 // attemptNumbers gives out the attempt numbers of one term. No two terms share one:
 // the low bits count, the term stands above them, and what the low bits can't count
@@ -11,18 +11,18 @@
 // next is a new number; false once the term has none left.
 func (n *attemptNumbers) next() (try uint64, ok bool) {
 	used := n.used + 1
-	carry := used >> tuning.TryBits
-	if carry >= 1<<tuning.TryCarryBits || carry > 0 && n.term >= 1<<tuning.TermBits {
+	carry := used >> constants.TryBits
+	if carry >= 1<<constants.TryCarryBits || carry > 0 && n.term >= 1<<constants.TermBits {
 		return 0, false
 	}
 	n.used = used
-	return carry<<(tuning.TryBits+tuning.TermBits) | n.term<<tuning.TryBits | used&(1<<tuning.TryBits-1), true
+	return carry<<(constants.TryBits+constants.TermBits) | n.term<<constants.TryBits | used&(1<<constants.TryBits-1), true
 }
 
 // owns tells whether a number is one of this term's.
 func (n *attemptNumbers) owns(try uint64) bool {
-	if n.term >= 1<<tuning.TermBits {
-		return try>>tuning.TryBits == n.term
+	if n.term >= 1<<constants.TermBits {
+		return try>>constants.TryBits == n.term
 	}
-	return try>>tuning.TryBits&(1<<tuning.TermBits-1) == n.term
+	return try>>constants.TryBits&(1<<constants.TermBits-1) == n.term
 }
--- a/internal/leader/attempts_test.go
+++ b/internal/leader/attempts_test.go
@@ -5,7 +5,7 @@
 
 	"pgregory.net/rapid"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // TestAttemptNumbersAreUnique: numbers of different terms, or given out at different
@@ -14,11 +14,11 @@
 func TestAttemptNumbersAreUnique(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(name string) attemptNumbers {
-			n := attemptNumbers{term: rapid.Uint64Range(1, 1<<tuning.TermBits-1).Draw(t, name+" term")}
+			n := attemptNumbers{term: rapid.Uint64Range(1, 1<<constants.TermBits-1).Draw(t, name+" term")}
 			if rapid.Bool().Draw(t, name+" carries") {
-				n.used = rapid.Uint64Range(0, 1<<(tuning.TryBits+tuning.TryCarryBits)-2).Draw(t, name+" used")
+				n.used = rapid.Uint64Range(0, 1<<(constants.TryBits+constants.TryCarryBits)-2).Draw(t, name+" used")
 			} else {
-				n.used = rapid.Uint64Range(0, 2<<tuning.TryBits).Draw(t, name+" few")
+				n.used = rapid.Uint64Range(0, 2<<constants.TryBits).Draw(t, name+" few")
 			}
 			return n
 		}
@@ -52,7 +52,7 @@
 	if try, ok := n.next(); !ok || try != 1<<44|7<<20 {
 		t.Errorf("the first with a carry is %d, %v", try, ok)
 	}
-	large := attemptNumbers{term: 1 << tuning.TermBits, used: 1<<20 - 2}
+	large := attemptNumbers{term: 1 << constants.TermBits, used: 1<<20 - 2}
 	if try, ok := large.next(); !ok || !large.owns(try) {
 		t.Errorf("%d, %v", try, ok)
 	}
--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -9,11 +9,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // fleetSizes are the numbers of machines at which growth is recorded.
@@ -31,14 +31,14 @@
 
 // grown makes a leader of a large site: so many machines, all busy but a few,
 // and a third as many jobs waiting.
-func grown(b testing.TB, machines int) (*Leader, []*rig) {
+func grown(b testing.TB, machines int) (*Leader, []*machine) {
 	now := time.Now()
 	l := testLeader(b)
 	l.teams = []config.Team{{Name: "a", GPUs: 1000, GPUsMax: 10 * float64(machines)}}
 	l.d.Settings.Params.Teams = l.teams
 	offline(b, l)
 	l.sure = now
-	var list []*rig
+	var list []*machine
 	for i := range machines {
 		r := addRig(l, fmt.Sprintf("m-%06d", i), []string{"east", "west"}[i%2], now)
 		r.m.Spot = i%3 == 0
@@ -49,7 +49,7 @@
 		j.Bundle = fmt.Sprint("img-", i%10)
 		j.Workload = []string{"x", "y"}[i%2]
 		if i%4 == 0 {
-			j.Shape, j.Pieces, j.Accelerators, j.SamePlace, j.Loaners = intake.Gang, 1<<(i/4%5), 4, true, false
+			j.Shape, j.Pieces, j.Accelerators, j.SamePlace, j.Loaners = userapi.Gang, 1<<(i/4%5), 4, true, false
 		}
 		addJob(b, l, j, now)
 	}
@@ -73,7 +73,7 @@
 		b.ResetTimer()
 		for i := range b.N {
 			for k := range 20 {
-				l.touch(list[(i*20+k)%len(list)])
+				l.markStale(list[(i*20+k)%len(list)])
 			}
 			l.pass(now)
 		}
@@ -82,7 +82,7 @@
 
 // crowded makes a leader of a site where far more waits than there is room for: gangs of
 // whole machines, urgent and not, and sweeps of small tasks, of several teams.
-func crowded(b testing.TB, machines int) (*Leader, []*rig) {
+func crowded(b testing.TB, machines int) (*Leader, []*machine) {
 	now := time.Now()
 	l := testLeader(b)
 	l.teams = nil
@@ -92,7 +92,7 @@
 	l.d.Settings.Params.Teams = l.teams
 	offline(b, l)
 	l.sure = now
-	var list []*rig
+	var list []*machine
 	for i := range machines {
 		r := addRig(l, fmt.Sprintf("m-%06d", i), []string{"east", "west"}[i%2], now)
 		r.m.Spot = i%5 < 2
@@ -104,10 +104,10 @@
 		j.Bundle = fmt.Sprint("img-", i%14)
 		switch i % 5 {
 		case 0:
-			j.Workload, j.Shape, j.Pieces, j.SamePlace, j.Loaners = "train", intake.Gang, 1<<(i/5%5), true, false
+			j.Workload, j.Shape, j.Pieces, j.SamePlace, j.Loaners = "train", userapi.Gang, 1<<(i/5%5), true, false
 			j.VCPUs, j.Accelerators = 28, 4
 		case 1, 2:
-			j.Workload, j.Shape, j.Pieces, j.SamePlace, j.Loaners = "urgent", intake.Gang, 1<<(i/5%3), true, false
+			j.Workload, j.Shape, j.Pieces, j.SamePlace, j.Loaners = "urgent", userapi.Gang, 1<<(i/5%3), true, false
 			j.VCPUs, j.Accelerators, j.Urgency = 28, 4, "urgent"
 		}
 		addJob(b, l, j, now.Add(time.Duration(i)*time.Millisecond))
@@ -138,7 +138,7 @@
 		for i := range b.N {
 			now = now.Add(60 * time.Millisecond)
 			for k := range 20 {
-				l.touch(list[(i*20+k)%len(list)])
+				l.markStale(list[(i*20+k)%len(list)])
 			}
 			for _, r := range list {
 				r.m.Heard = now
@@ -160,10 +160,10 @@
 			now := time.Now()
 			for k := range 20 {
 				r := list[(i*20+k*101)%len(list)]
-				rep := report(l, r, fleet.Running, "")
+				rep := report(l, r, workers.Running, "")
 				for n := range rep.Pieces {
-					if a := r.m.Attempts[attemptID(b, rep.Pieces[n])]; n%3 == 0 && a.ID.Task.Index%50 != 0 && l.jobs[a.ID.Task.Job] != nil && l.jobs[a.ID.Task.Job].spec.Shape != intake.Gang {
-						rep.Pieces[n].Status, rep.Pieces[n].Cause = fleet.Exited, fleet.CauseError
+					if a := r.m.Attempts[attemptID(b, rep.Pieces[n])]; n%3 == 0 && a.ID.Task.Index%50 != 0 && l.jobs[a.ID.Task.Job] != nil && l.jobs[a.ID.Task.Job].spec.Shape != userapi.Gang {
+						rep.Pieces[n].Status, rep.Pieces[n].Cause = workers.Exited, workers.CauseError
 					}
 				}
 				l.observe(r, rep, false, now)
@@ -183,12 +183,12 @@
 	})
 }
 
-func attemptID(b testing.TB, p fleet.Piece) fleet.AttemptID {
-	task, err := fleet.ParseTaskID(p.Piece)
+func attemptID(b testing.TB, p workers.Piece) workers.AttemptID {
+	task, err := workers.ParseTaskID(p.Piece)
 	if err != nil {
 		b.Fatal(err)
 	}
-	return fleet.AttemptID{Task: task, Try: p.Try}
+	return workers.AttemptID{Task: task, Try: p.Try}
 }
 
 // BenchmarkReport is a report's way through the leader's routine when it
@@ -201,11 +201,11 @@
 		b.ResetTimer()
 		for i := range b.N {
 			r := list[i%len(list)]
-			rep := report(l, r, fleet.Running, "")
+			rep := report(l, r, workers.Running, "")
 			l.hello(rep, now, ch)
 			l.commit(now)
 			r.waiter.until = now
-			l.wake(r)
+			l.answerSoon(r)
 			l.flush(now)
 			<-ch
 		}
@@ -222,8 +222,8 @@
 		l.market.listed, l.market.busy = now, true
 		b.ResetTimer()
 		for range b.N {
-			now = now.Add(tuning.TickEvery)
-			for _, r := range l.sortedRigs() {
+			now = now.Add(constants.TickEvery)
+			for _, r := range l.sortedMachines() {
 				r.m.Heard, r.m.Answered = now, now
 			}
 			l.tick(now)
@@ -267,7 +267,7 @@
 		l, list := grown(b, machines)
 		rows := make(map[string]wal.Row)
 		written(l, rows)
-		for i := range tuning.CheckpointAfter {
+		for i := range constants.CheckpointAfter {
 			for k := range 20 {
 				l.noteMeta(list[(i*20+k)%len(list)], nil)
 			}
@@ -287,8 +287,8 @@
 		b.ResetTimer()
 		for range b.N {
 			st, _, err := wal.Read(all)
-			if err != nil || len(st.Rigs) != machines {
-				b.Fatalf("%d machines read: %v", len(st.Rigs), err)
+			if err != nil || len(st.Machines) != machines {
+				b.Fatalf("%d machines read: %v", len(st.Machines), err)
 			}
 		}
 	})
@@ -305,6 +305,6 @@
 
 type noStore struct{ Store }
 
-func (noStore) Multi(context.Context, ledger.Class, []ledger.Cond, []ledger.Write) (uint64, error) {
-	return 0, ledger.ErrUnavailable
+func (noStore) Multi(context.Context, statestore.Class, []statestore.Cond, []statestore.Write) (uint64, error) {
+	return 0, statestore.ErrUnavailable
 }
--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -8,13 +8,13 @@
 	"slices"
 	"time"
 
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/election"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/term"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // committer carries the log's transactions to the state service, one at a
@@ -57,9 +57,9 @@
 		// bound how many go out a second.
 		at = c.last
 	case c.log.Pending() || len(c.final) > 0 || len(c.off) > 0:
-		at = c.last.Add(tuning.CommitEvery)
+		at = c.last.Add(constants.CommitEvery)
 	case c.log.Checkpointing() || len(c.remains) > 0:
-		at = c.last.Add(tuning.CheckpointEvery)
+		at = c.last.Add(constants.CheckpointEvery)
 	default:
 		return time.Time{}
 	}
@@ -94,13 +94,13 @@
 	}
 	c.busy, c.last = true, now
 	c.more = l.remains()
-	when := append([]ledger.Cond{{K: term.NumberKey, Stamp: l.grant.Stamp}}, t.When...)
+	when := append([]statestore.Cond{{K: election.NumberKey, Stamp: l.grant.Stamp}}, t.When...)
 	writes := t.Writes
 	l.tasks.Go(func() error {
-		epoch, err := l.d.Store.Multi(l.ctx, ledger.Record, when, writes)
+		epoch, err := l.d.Store.Multi(l.ctx, statestore.Record, when, writes)
 		res := outcome{epoch: epoch, err: err}
-		var conflict *ledger.Conflict
-		if errors.As(err, &conflict) && !conflict.Has(term.NumberKey) {
+		var conflict *statestore.Conflict
+		if errors.As(err, &conflict) && !conflict.Has(election.NumberKey) {
 			res = l.explain(l.ctx, conflict)
 		}
 		l.do(l.ctx, func() { l.committed(res) })
@@ -130,7 +130,7 @@
 	for _, j := range c.final {
 		switch {
 		case j.gone || j.moving:
-		case len(extras) < tuning.FinalsAtOnce && room >= 2:
+		case len(extras) < constants.FinalsAtOnce && room >= 2:
 			j.moving = true
 			room -= 2
 			extras = append(extras, l.finalExtra(j))
@@ -139,7 +139,7 @@
 		}
 	}
 	c.final = kept
-	for len(c.off) > 0 && len(extras) < tuning.FinalsAtOnce && room >= 2 {
+	for len(c.off) > 0 && len(extras) < constants.FinalsAtOnce && room >= 2 {
 		room -= 2
 		extras = append(extras, l.offExtra(c.off[0]))
 		c.off = c.off[1:]
@@ -161,13 +161,13 @@
 	err    error
 	head   *wal.Head
 	stamp  uint64
-	failed *ledger.Conflict
+	failed *statestore.Conflict
 }
 
 // explain reads the head after a clash: an earlier try without an answer may
 // have been carried out after all.
-func (l *Leader) explain(ctx context.Context, c *ledger.Conflict) outcome {
-	row, found, err := l.d.Store.Get(ctx, ledger.Record, wal.HeadKey)
+func (l *Leader) explain(ctx context.Context, c *statestore.Conflict) outcome {
+	row, found, err := l.d.Store.Get(ctx, statestore.Record, wal.HeadKey)
 	if err != nil {
 		return outcome{err: err}
 	}
@@ -187,8 +187,8 @@
 	c.busy = false
 	l.counts.Commits++
 	l.counts.CommitS += now.Sub(c.last).Seconds()
-	var conflict *ledger.Conflict
-	deposed := errors.As(o.err, &conflict) && conflict.Has(term.NumberKey)
+	var conflict *statestore.Conflict
+	deposed := errors.As(o.err, &conflict) && conflict.Has(election.NumberKey)
 	switch {
 	case deposed:
 		l.end(errDeposed)
@@ -203,7 +203,7 @@
 		c.log.Clashed(o.failed.Has)
 		l.dirty = true
 		return
-	case errors.Is(o.err, ledger.ErrRefused):
+	case errors.Is(o.err, statestore.ErrRefused):
 		l.d.Log.Error("records are refused", "err", o.err)
 		l.end(ErrTooLarge)
 		return
@@ -215,7 +215,7 @@
 		if c.backoff == 0 {
 			l.d.Log.Info("records can't be written", "err", o.err)
 		}
-		c.backoff = min(max(2*c.backoff, tuning.BackoffMin), tuning.BackoffMax)
+		c.backoff = min(max(2*c.backoff, constants.BackoffMin), constants.BackoffMax)
 		c.retryAt = now.Add(jitter(c.backoff))
 		return
 	}
@@ -231,17 +231,17 @@
 func (l *Leader) finalExtra(j *job) wal.Extra {
 	name := j.spec.NameID
 	at := time.Now()
-	v, _ := json.Marshal(intake.Final{Status: intake.Done, Pieces: j.spec.Pieces, AtMS: at.UnixMilli()}) // plain fields always encode
+	v, _ := json.Marshal(userapi.Final{Status: userapi.Done, Pieces: j.spec.Pieces, AtMS: at.UnixMilli()}) // plain fields always encode
 	return wal.Extra{
-		When:   []ledger.Cond{{K: intake.OpenPrefix + name, Stamp: j.stamp}},
-		Writes: []ledger.Write{{Remove: intake.OpenPrefix + name}, {Set: intake.FinalPrefix + name, V: v}},
+		When:   []statestore.Cond{{K: userapi.OpenPrefix + name, Stamp: j.stamp}},
+		Writes: []statestore.Write{{Remove: userapi.OpenPrefix + name}, {Set: userapi.FinalPrefix + name, V: v}},
 		Stood: func(uint64) {
 			l.d.Log.Debug("job done", "id", name)
-			l.bury(j, time.Now())
-			l.fate(name, intake.Final{Status: intake.Done, AtMS: at.UnixMilli()}, time.Now())
+			l.removeJob(j, time.Now())
+			l.finalKnown(name, userapi.Final{Status: userapi.Done, AtMS: at.UnixMilli()}, time.Now())
 		},
 		// Ended already by its user.
-		Clash: func() { l.bury(j, time.Now()) },
+		Clash: func() { l.removeJob(j, time.Now()) },
 		Again: func() {
 			j.moving = false
 			l.committer.final = append(l.committer.final, j)
@@ -254,8 +254,8 @@
 	c := &l.committer
 	gone := func() { delete(c.remains, key) }
 	return wal.Extra{
-		When:   []ledger.Cond{{K: key, Stamp: stamp}},
-		Writes: []ledger.Write{{Remove: key}},
+		When:   []statestore.Cond{{K: key, Stamp: stamp}},
+		Writes: []statestore.Write{{Remove: key}},
 		Stood:  func(uint64) { gone() },
 		Clash:  gone,
 	}
@@ -263,11 +263,11 @@
 
 // checkpoint begins to write the whole state anew.
 func (l *Leader) checkpoint() {
-	rigs := make([]string, 0, len(l.rigs))
-	for name := range l.rigs {
-		rigs = append(rigs, name)
+	machines := make([]string, 0, len(l.machines))
+	for name := range l.machines {
+		machines = append(machines, name)
 	}
-	slices.Sort(rigs)
+	slices.Sort(machines)
 	var jobs []string
 	for name, j := range l.jobs {
 		if j.doneN > 0 {
@@ -275,8 +275,8 @@
 		}
 	}
 	slices.Sort(jobs)
-	l.committer.log.Checkpoint(rigs, jobs, l, func() {
-		l.d.Log.Debug("checkpoint stands", "rigs", len(rigs), "jobs", len(jobs))
+	l.committer.log.Checkpoint(machines, jobs, l, func() {
+		l.d.Log.Debug("checkpoint stands", "rigs", len(machines), "jobs", len(jobs))
 		for key, stamp := range l.legacy {
 			l.committer.remains[key] = stamp
 		}
@@ -284,11 +284,11 @@
 	})
 }
 
-// Rig gives a checkpoint one machine's record.
-func (l *Leader) Rig(name string) (wal.Rig, bool) {
-	r := l.rigs[name]
+// Machine gives a checkpoint one machine's record.
+func (l *Leader) Machine(name string) (wal.Machine, bool) {
+	r := l.machines[name]
 	if r == nil {
-		return wal.Rig{}, false
+		return wal.Machine{}, false
 	}
 	return l.record(r), true
 }
@@ -299,7 +299,7 @@
 	if j == nil {
 		return nil
 	}
-	per := tuning.DoneChunk / 8
+	per := constants.DoneChunk / 8
 	for at := 0; at < len(j.did); at += per {
 		out = append(out, wal.Done{First: at * 8, Bits: slices.Clone(j.did[at:min(len(j.did), at+per)])})
 	}
@@ -308,7 +308,7 @@
 
 // bury takes a job that is over out of memory. What of it may still be on
 // machines is stopped, and remembered by size until it is proven gone.
-func (l *Leader) bury(j *job, now time.Time) {
+func (l *Leader) removeJob(j *job, now time.Time) {
 	if j.gone {
 		return
 	}
@@ -317,32 +317,32 @@
 	l.finished[name] = true
 	seats := sortedSeats(j)
 	if len(seats) > 0 {
-		l.ghosts[name] = &ghost{owner: j.spec.Owner, need: placement.Need(j.spec), seats: len(seats)}
+		l.endedJobs[name] = &endedJob{owner: j.spec.Owner, need: placement.Need(j.spec), seats: len(seats)}
 	}
 	delete(l.jobs, name)
-	l.wantFate(name)
+	l.wantFinal(name)
 	if len(j.before) > 0 {
 		l.inherit(slices.Collect(maps.Keys(j.before))) // they are needed less
 	}
 	for a, r := range j.exits {
-		l.settle(r, a)
+		l.allowForget(r, a)
 	}
 	j.exits = nil
 	for _, s := range seats {
-		l.touch(s.rig)
-		l.halt(s.rig, s.a, 0, now)
+		l.markStale(s.machine)
+		l.halt(s.machine, s.a, 0, now)
 	}
 	for _, s := range seats {
-		l.press(s.rig, now)
+		l.sendStops(s.machine, now)
 	}
 	l.dirty = true
 }
 
-// settle lets a worker forget an exit that is recorded, or of no interest.
-func (l *Leader) settle(r *rig, a *fleet.Attempt) {
+// allowForget lets a worker forget an exit that is recorded, or of no interest.
+func (l *Leader) allowForget(r *machine, a *workers.Attempt) {
 	if !a.Settled {
 		a.Settled = true
-		l.wake(r)
+		l.answerSoon(r)
 	}
 }
 
@@ -350,14 +350,14 @@
 func (l *Leader) settleDone(j *job) {
 	for a, r := range j.exits {
 		if j.safe.has(a.ID.Task.Index) {
-			l.settle(r, a)
+			l.allowForget(r, a)
 			delete(j.exits, a)
 		}
 	}
 }
 
 // noteAdd has an attempt recorded; its `run` leaves only once that stands.
-func (l *Leader) noteAdd(r *rig, a *fleet.Attempt) {
+func (l *Leader) noteAdd(r *machine, a *workers.Attempt) {
 	if !r.metaNoted {
 		l.noteMeta(r, nil)
 	}
@@ -370,21 +370,21 @@
 }
 
 // noteMeta has all but a machine's attempts recorded.
-func (l *Leader) noteMeta(r *rig, stood func()) {
+func (l *Leader) noteMeta(r *machine, stood func()) {
 	r.metaNoted, r.noted = true, l.meta(r)
 	l.committer.log.Meta(r.m.Name, r.noted, stood)
 }
 
 // clear lets a committed attempt start. A gang waits until the records of all
 // its tasks stand.
-func (l *Leader) clear(r *rig, a *fleet.Attempt) {
+func (l *Leader) clear(r *machine, a *workers.Attempt) {
 	j := l.jobs[a.ID.Task.Job]
 	if j == nil {
 		return
 	}
-	if j.spec.Shape != intake.Gang {
+	if j.spec.Shape != userapi.Gang {
 		a.Cleared = true
-		l.wake(r)
+		l.answerSoon(r)
 		return
 	}
 	seats := sortedSeats(j)
@@ -396,7 +396,7 @@
 	for _, s := range seats {
 		if s.a.ID.Try == a.ID.Try {
 			s.a.Cleared = true
-			l.wake(s.rig)
+			l.answerSoon(s.machine)
 		}
 	}
 }
--- a/internal/leader/commit_test.go
+++ b/internal/leader/commit_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/workers"
 )
 
 // TestFullTransactionsFollowAtOnce: what had no room in a transaction goes out as soon
@@ -18,11 +18,11 @@
 	now := time.Now()
 	l := testLeader(t)
 	offline(t, l)
-	l.d.Settings.Params.State.TxnOps, l.d.Settings.Params.State.ValueKB = tuning.TxnOpsLeast, 1
+	l.d.Settings.Params.State.TxnOps, l.d.Settings.Params.State.ValueKB = constants.TxnOpsLeast, 1
 	l.openLog(l.committer.log.Head(), 0)
-	plan := func(i int) *fleet.Attempt {
+	plan := func(i int) *workers.Attempt {
 		r := addRig(l, fmt.Sprintf("m-%04d", i), "east", now)
-		a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: "j-1", Index: i}, Try: uint64(i)}, Shift: 1, PlannedAt: now}
+		a := &workers.Attempt{ID: workers.AttemptID{Task: workers.TaskID{Job: "j-1", Index: i}, Try: uint64(i)}, Shift: 1, PlannedAt: now}
 		r.m.Attempts[a.ID] = a
 		l.noteAdd(r, a)
 		return a
@@ -52,7 +52,7 @@
 		t.Errorf("nothing is left, and due at %v", due)
 	}
 	plan(200)
-	if due := l.commitDue(); !due.Equal(now.Add(tuning.CommitEvery)) {
+	if due := l.commitDue(); !due.Equal(now.Add(constants.CommitEvery)) {
 		t.Errorf("little waits for %v", due.Sub(now))
 	}
 	send()
--- a/internal/leader/vouch.go
+++ b/internal/leader/confirmations.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"thornnotch/internal/tuning"
-	"thornnotch/internal/vouch"
+	"thornnotch/internal/confirmations"
+	"thornnotch/internal/constants"
 )
 
 // Vouch asks all nodes which cancellations they have told users of within a time;
@@ -14,7 +14,7 @@
 
 // askAll asks the nodes for as long as the watch is not answered.
 func (l *Leader) askAll(ctx context.Context) error {
-	tick := time.NewTicker(tuning.VouchEvery)
+	tick := time.NewTicker(constants.VouchEvery)
 	defer tick.Stop()
 	for {
 		select {
@@ -35,10 +35,10 @@
 			return ctx.Err()
 		}
 		asked := time.Now()
-		if asked.Sub(since) < tuning.VouchAfter {
+		if asked.Sub(since) < constants.VouchAfter {
 			continue
 		}
-		ids, ok := l.d.Vouch(ctx, vouch.Span(asked, since))
+		ids, ok := l.d.Vouch(ctx, confirmations.Span(asked, since))
 		if ok {
 			l.do(ctx, func() { l.vouched(ids, asked, time.Now()) })
 		}
@@ -48,13 +48,13 @@
 // vouched takes in what all nodes have vouched for: whatever users were told
 // before they were asked is known.
 func (l *Leader) vouched(ids []string, asked, now time.Time) {
-	if vouch.Late(asked, now) {
+	if confirmations.Late(asked, now) {
 		return
 	}
 	for _, id := range ids {
 		if j := l.jobs[id]; j != nil {
 			l.d.Log.Debug("job cancelled, as nodes vouch", "id", id)
-			l.bury(j, now)
+			l.removeJob(j, now)
 		}
 	}
 	if asked.After(l.sure) {
--- a/internal/leader/waits.go
+++ b/internal/leader/dependencies.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"time"
 
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
 )
 
 // Jobs that wait for others. Such a job is shown to nobody, neither placement nor
@@ -25,7 +25,7 @@
 	wanted map[string]bool
 	asking map[string]bool
 	// unnamed are the jobs whose list of names is to be read.
-	unnamed map[*job]intake.Needs
+	unnamed map[*job]userapi.Needs
 	retryAt time.Time
 	// fed are the jobs that were shown as feeding ones with room held for them.
 	fed []*job
@@ -35,14 +35,14 @@
 	w.after = make(map[string][]*job)
 	w.wanted = make(map[string]bool)
 	w.asking = make(map[string]bool)
-	w.unnamed = make(map[*job]intake.Needs)
+	w.unnamed = make(map[*job]userapi.Needs)
 }
 
 // waiting tells whether a job before this one is not known to be done.
 func (j *job) waiting() bool { return j.asks || len(j.before) > 0 }
 
 // mustWait takes in what a job waits for.
-func (l *Leader) mustWait(j *job, needs intake.Needs) {
+func (l *Leader) mustWait(j *job, needs userapi.Needs) {
 	j.asks, j.edged = true, true
 	if needs.Split != nil || !l.loaded {
 		// Not all names are known, or not all open jobs.
@@ -60,7 +60,7 @@
 			l.link(j, needs.WaitsOn)
 		}
 	}
-	l.askFates(now)
+	l.readFinals(now)
 }
 
 // link has a job wait for the jobs that are named.
@@ -80,21 +80,21 @@
 	l.inherit(names)
 }
 
-// wantFate has a job's final record read if others wait for it.
-func (l *Leader) wantFate(name string) {
+// wantFinal has a job's final record read if others wait for it.
+func (l *Leader) wantFinal(name string) {
 	if len(l.waits.after[name]) > 0 {
 		l.waits.wanted[name] = true
 	}
 }
 
-// askFates reads what decides over the jobs that wait, some at a time.
-func (l *Leader) askFates(now time.Time) {
+// readFinals reads what decides over the jobs that wait, some at a time.
+func (l *Leader) readFinals(now time.Time) {
 	w := &l.waits
 	if len(w.wanted) == 0 && len(w.unnamed) == 0 || now.Before(w.retryAt) {
 		return
 	}
 	for name := range w.wanted {
-		if len(w.asking) >= tuning.FatesAtOnce {
+		if len(w.asking) >= constants.FinalReadsAtOnce {
 			break
 		}
 		if w.asking[name] {
@@ -106,20 +106,20 @@
 		}
 		w.asking[name] = true
 		l.tasks.Go(func() error {
-			row, found, err := l.d.Store.Get(l.ctx, ledger.Record, intake.FinalPrefix+name)
+			row, found, err := l.d.Store.Get(l.ctx, statestore.Record, userapi.FinalPrefix+name)
 			l.do(l.ctx, func() {
 				delete(w.asking, name)
-				var f intake.Final
+				var f userapi.Final
 				if err == nil && found {
 					err = json.Unmarshal(row.V, &f)
 				}
 				if err != nil || !found {
 					// Not readable now; or not final: then the watch brings it.
-					w.retryAt = time.Now().Add(tuning.FateRetry)
+					w.retryAt = time.Now().Add(constants.FinalReadRetry)
 					return
 				}
-				l.fate(name, f, time.Now())
-				l.askFates(time.Now())
+				l.finalKnown(name, f, time.Now())
+				l.readFinals(time.Now())
 			})
 			return nil
 		})
@@ -130,23 +130,23 @@
 			delete(w.unnamed, j)
 			continue
 		}
-		if len(w.asking) >= tuning.FatesAtOnce || w.asking["list of "+name] {
+		if len(w.asking) >= constants.FinalReadsAtOnce || w.asking["list of "+name] {
 			continue
 		}
 		w.asking["list of "+name] = true
 		l.tasks.Go(func() error {
-			names, err := needs.Whole(l.ctx, l.d.Store, ledger.Record, name)
+			names, err := needs.Whole(l.ctx, l.d.Store, statestore.Record, name)
 			l.do(l.ctx, func() {
 				delete(w.asking, "list of "+name)
 				if err != nil {
 					l.d.Log.Info("a list of jobs can't be read", "id", name, "err", err)
-					w.retryAt = time.Now().Add(tuning.FateRetry)
+					w.retryAt = time.Now().Add(constants.FinalReadRetry)
 					return
 				}
 				if _, still := w.unnamed[j]; still {
 					delete(w.unnamed, j)
 					l.link(j, names)
-					l.askFates(time.Now())
+					l.readFinals(time.Now())
 				}
 			})
 			return nil
@@ -157,11 +157,11 @@
 // fate takes in how a job ended, by its final record: those that wait for it have one
 // less to wait for, or are cancelled with it, and so are those that wait for them.
 // No call goes deeper than this, however long the chain.
-func (l *Leader) fate(name string, f intake.Final, now time.Time) {
+func (l *Leader) finalKnown(name string, f userapi.Final, now time.Time) {
 	w := &l.waits
 	type end struct {
 		name string
-		f    intake.Final
+		f    userapi.Final
 	}
 	for queue := []end{{name, f}}; len(queue) > 0; queue = queue[1:] {
 		e := queue[0]
@@ -172,11 +172,11 @@
 			if j.gone {
 				continue
 			}
-			if e.f.Status != intake.Done {
+			if e.f.Status != userapi.Done {
 				l.d.Log.Debug("job cancelled with one before it", "id", j.spec.NameID, "before", e.name)
-				l.bury(j, now)
+				l.removeJob(j, now)
 				l.committer.off = append(l.committer.off, j)
-				queue = append(queue, end{j.spec.NameID, intake.Final{Status: intake.Aborted}})
+				queue = append(queue, end{j.spec.NameID, userapi.Final{Status: userapi.Aborted}})
 				continue
 			}
 			delete(j.before, e.name)
@@ -207,10 +207,10 @@
 // offExtra writes the final record of a job that is cancelled with one before it.
 func (l *Leader) offExtra(j *job) wal.Extra {
 	name := j.spec.NameID
-	v, _ := json.Marshal(intake.Final{Status: intake.Aborted}) // plain fields always encode
+	v, _ := json.Marshal(userapi.Final{Status: userapi.Aborted}) // plain fields always encode
 	return wal.Extra{
-		When:   []ledger.Cond{{K: intake.OpenPrefix + name, Stamp: j.stamp}},
-		Writes: []ledger.Write{{Remove: intake.OpenPrefix + name}, {Set: intake.FinalPrefix + name, V: v}},
+		When:   []statestore.Cond{{K: userapi.OpenPrefix + name, Stamp: j.stamp}},
+		Writes: []statestore.Write{{Remove: userapi.OpenPrefix + name}, {Set: userapi.FinalPrefix + name, V: v}},
 		Again:  func() { l.committer.off = append(l.committer.off, j) },
 	}
 }
--- a/internal/leader/edges.go
+++ b/internal/leader/edges.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
+	"thornnotch/internal/constants"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/reserve"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/reservations"
 )
 
 // Where users name edges with waitsOn, these are the pipelines of the hold rule:
@@ -17,10 +17,10 @@
 
 // downstreamEdges are the jobs that name a job and still wait, by priority, then by
 // how soon they must start, then in the order that they came.
-func (l *Leader) downstreamEdges(up *job) (out []reserve.Downstream) {
+func (l *Leader) downstreamEdges(up *job) (out []reservations.Downstream) {
 	var jobs []*job
 	for _, j := range l.waits.after[up.spec.NameID] {
-		if len(jobs) == tuning.DownstreamsSeen {
+		if len(jobs) == constants.DownstreamsSeen {
 			break
 		}
 		if !j.gone && !j.placed {
@@ -57,7 +57,7 @@
 	}
 	l.waits.fed = l.waits.fed[:0]
 	walked := make(map[string]bool)
-	for _, r := range w.Rigs {
+	for _, r := range w.Machines {
 		for i, h := range r.Held {
 			name := h.Pipeline.Downstream
 			if name == "" {
--- a/internal/leader/edges_test.go
+++ b/internal/leader/edges_test.go
@@ -7,17 +7,17 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/reserve"
+	"thornnotch/internal/reservations"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // edgeScene is a machine for four tasks with n of a job, which another one of another
 // team waits for, while a third, of the first one's owner and workload and as urgent,
 // waits for room.
-func edgeScene(t *testing.T, n int, now time.Time) (l *Leader, r *rig, down, other *job) {
+func edgeScene(t *testing.T, n int, now time.Time) (l *Leader, r *machine, down, other *job) {
 	t.Helper()
 	l = testLeader(t)
 	l.sure = now
@@ -29,7 +29,7 @@
 	l.pass(now)
 	settle(l, 100)
 	r.m.Orders(true, now)
-	l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	l.observe(r, report(l, r, workers.Running, ""), false, now)
 	spec := sweep("j-2", n)
 	spec.Owner, spec.WaitsOn = "b", []string{"j-1"}
 	down = addJob(t, l, spec, now)
@@ -38,8 +38,8 @@
 }
 
 // endAll has all tasks on the machine reported done.
-func endAll(l *Leader, r *rig, now time.Time) {
-	l.observe(r, report(l, r, fleet.Exited, fleet.CauseDone), false, now)
+func endAll(l *Leader, r *machine, now time.Time) {
+	l.observe(r, report(l, r, workers.Exited, workers.CauseDone), false, now)
 }
 
 // TestEdgesAreThePipeline: where users name edges, what a finisher leaves is held for
@@ -78,7 +78,7 @@
 	endAll(l, r, now.Add(10*time.Second))
 	shown := func() (out []bool) {
 		w, _ := l.world(now)
-		for _, h := range w.Rigs[0].Held {
+		for _, h := range w.Machines[0].Held {
 			out = append(out, h.Barred)
 		}
 		return out
@@ -107,8 +107,8 @@
 	spec.WaitsOn = []string{"j-2"}
 	waited := addJob(t, l, spec, now)
 	next := addJob(t, l, sweep("j-4", 1), now)
-	l.bury(l.jobs["j-2"], now)
-	l.fate("j-2", intake.Final{Status: intake.Done}, now)
+	l.removeJob(l.jobs["j-2"], now)
+	l.finalKnown("j-2", userapi.Final{Status: userapi.Done}, now)
 	if waited.waiting() {
 		t.Fatal("it may not start")
 	}
@@ -129,7 +129,7 @@
 			l.jobGone("j-2", now)
 		} else {
 			o := l.d.Operator.Holds
-			lapse := start.Add(reserve.Options{Alpha: o.Alpha, P: o.P}.Lapse(10*time.Second, 4))
+			lapse := start.Add(reservations.Options{Alpha: o.Alpha, P: o.P}.Lapse(10*time.Second, 4))
 			l.book.Lapse(lapse.Add(-time.Second), l.stillWaits)
 			if len(l.book.All()) != 4 {
 				t.Errorf("lapsed early")
@@ -137,7 +137,7 @@
 			now = lapse.Add(time.Second)
 		}
 		for _, name := range l.book.Lapse(now, l.stillWaits) {
-			l.hintsChanged(l.rigs[name], now)
+			l.hintsChanged(l.machines[name], now)
 		}
 		r.m.Heard, r.m.Answered = now, now
 		l.sure = now
@@ -158,7 +158,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var rec wal.Rig
+	var rec wal.Machine
 	if err := json.Unmarshal(raw, &rec); err != nil {
 		t.Fatal(err)
 	}
@@ -205,7 +205,7 @@
 	if fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("held for %v, want %v", got, want)
 	}
-	endAll(l, l.rigs["m-1"], now.Add(5*time.Second)) // two for j-7, two for j-6
+	endAll(l, l.machines["m-1"], now.Add(5*time.Second)) // two for j-7, two for j-6
 	if _, _ = l.world(now); !side.view.Owns(l.jobs["j-6"].view.Edges()) || side.view.Owns(l.jobs["j-4"].view.Edges()) || last.view.Owns(l.jobs["j-7"].view.Edges()) {
 		t.Errorf("who may use the holds: one before %v, another %v, one after %v", side.view.Feeds, first.view.Feeds, last.view.Feeds)
 	}
--- a/internal/leader/faults.go
+++ b/internal/leader/faults.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // A task that fails speaks against its machine or against its job: a faulty
@@ -44,34 +44,34 @@
 // note takes in that a task failed on a machine after it had run for so long. It
 // tells how long the job has to wait before it is tried again, or the task alone
 // if alone is set.
-func (b *blame) note(rig string, task int, ran time.Duration, waits bool, now time.Time) (pause time.Duration, alone bool) {
+func (b *blame) note(machine string, task int, ran time.Duration, waits bool, now time.Time) (pause time.Duration, alone bool) {
 	if b.failed == nil {
 		b.failed, b.tasks = make(map[string]failure), make(map[int]int)
 	}
-	if b.tasks[task]++; b.tasks[task] > tuning.BadTaskMachines && b.sound {
+	if b.tasks[task]++; b.tasks[task] > constants.BadTaskMachines && b.sound {
 		// The others of the job do well, this one fails wherever it starts:
 		// that is no machine's fault.
-		return tuning.RetryMax, true
+		return constants.RetryMax, true
 	}
-	f := b.failed[rig]
-	b.failed[rig] = failure{now, max(f.ran, ran)}
+	f := b.failed[machine]
+	b.failed[machine] = failure{now, max(f.ran, ran)}
 	if b.sound {
 		return 0, false
 	}
 	recent := 0
 	for _, f := range b.failed {
-		if now.Sub(f.at) < tuning.BlameMemory {
+		if now.Sub(f.at) < constants.BlameMemory {
 			recent++
 		}
 	}
-	if recent < tuning.BadJobMachines && b.rounds == 0 {
-		return tuning.RetryBase, false
+	if recent < constants.BadJobMachines && b.rounds == 0 {
+		return constants.RetryBase, false
 	}
 	if !waits {
 		// Tasks that fail together count once.
 		b.rounds++
 	}
-	return min(tuning.RetryMax, tuning.RetryBase<<min(b.rounds, 10)), false
+	return min(constants.RetryMax, constants.RetryBase<<min(b.rounds, 10)), false
 }
 
 // clear is called once the job has shown that it has no mistake.
@@ -80,31 +80,31 @@
 // guilty names the machines whose fault the job's failures were, given for how
 // long its tasks have run on which machines: the job did better elsewhere. A
 // machine is named once.
-func (b *blame) guilty(runs map[string]time.Duration, now time.Time) (rigs []string) {
+func (b *blame) guilty(runs map[string]time.Duration, now time.Time) (machines []string) {
 	for name, f := range b.failed {
-		if now.Sub(f.at) >= tuning.BlameMemory {
+		if now.Sub(f.at) >= constants.BlameMemory {
 			delete(b.failed, name)
 			continue
 		}
 		better := b.sound
 		for other, ran := range runs {
-			better = better || other != name && ran > f.ran+tuning.BlameMargin
+			better = better || other != name && ran > f.ran+constants.BlameMargin
 		}
 		if better {
-			rigs = append(rigs, name)
+			machines = append(machines, name)
 			delete(b.failed, name)
 		}
 	}
-	return rigs
+	return machines
 }
 
 // failedHere takes in a task's failure.
-func (l *Leader) failedHere(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+func (l *Leader) failedHere(r *machine, j *job, a *workers.Attempt, now time.Time) {
 	ran := time.Duration(0)
 	if !a.RanAt.IsZero() {
 		ran = now.Sub(a.RanAt)
 	}
-	j.avoid[r.m.Name] = now.Add(tuning.AvoidFor)
+	j.avoid[r.m.Name] = now.Add(constants.AvoidFor)
 	j.stale = true
 	pause, alone := j.blame.note(r.m.Name, a.ID.Task.Index, ran, now.Before(j.notBefore), now)
 	if alone {
@@ -117,12 +117,12 @@
 		return
 	}
 	// Until it is known whose fault it was nothing else should meet it there.
-	r.pausedUntil = now.Add(tuning.BlamePause)
+	r.pausedUntil = now.Add(constants.BlamePause)
 	if r.accusers == nil {
 		r.accusers = make(map[string]bool)
 	}
 	r.accusers[j.spec.NameID] = true
-	if len(r.accusers) >= tuning.BadMachineJobs {
+	if len(r.accusers) >= constants.BadMachineJobs {
 		l.condemn(r, "several jobs failed on it", now)
 	}
 	l.judge(j, now)
@@ -143,14 +143,14 @@
 	runs := make(map[string]time.Duration)
 	for _, seats := range j.seats {
 		for _, s := range seats {
-			if s.a.Status == fleet.Running && !s.a.RanAt.IsZero() {
-				runs[s.rig.m.Name] = max(runs[s.rig.m.Name], s.rig.m.Heard.Sub(s.a.RanAt))
+			if s.a.Status == workers.Running && !s.a.RanAt.IsZero() {
+				runs[s.machine.m.Name] = max(runs[s.machine.m.Name], s.machine.m.Heard.Sub(s.a.RanAt))
 			}
 		}
 	}
 	for _, name := range j.blame.guilty(runs, now) {
 		j.blame.clear()
-		if r := l.rigs[name]; r != nil {
+		if r := l.machines[name]; r != nil {
 			l.condemn(r, "a job that does well elsewhere failed on it", now)
 		}
 	}
@@ -166,7 +166,7 @@
 // absolve takes back what a job with a mistake has said against machines.
 func (l *Leader) absolve(j *job) {
 	for name := range j.blame.failed {
-		r := l.rigs[name]
+		r := l.machines[name]
 		if r == nil || !r.accusers[j.spec.NameID] {
 			continue
 		}
@@ -180,7 +180,7 @@
 
 // condemn takes a machine for faulty: it gets no more tasks, and goes back once
 // it has none. What has not begun to run there would only fail too.
-func (l *Leader) condemn(r *rig, why string, now time.Time) {
+func (l *Leader) condemn(r *machine, why string, now time.Time) {
 	if r.bad {
 		return
 	}
@@ -188,17 +188,17 @@
 	l.d.Log.Info("machine taken for faulty", "rig", r.m.Name, "zone", r.m.Zone, "why", why)
 	for _, a := range r.m.Sorted() {
 		j := l.jobs[a.ID.Task.Job]
-		if j == nil || a.Halt || !a.Live() || a.Status == fleet.Running || a.Status == fleet.Saving {
+		if j == nil || a.Halt || !a.Live() || a.Status == workers.Running || a.Status == workers.Saving {
 			continue
 		}
-		if j.spec.Shape != intake.Gang {
+		if j.spec.Shape != userapi.Gang {
 			l.halt(r, a, 0, now)
 		} else {
 			l.haltGang(j, 0, now)
 		}
 	}
-	l.touch(r)
-	l.press(r, now)
+	l.markStale(r)
+	l.sendStops(r, now)
 	l.dirty = true
 }
 
--- a/internal/leader/faults_test.go
+++ b/internal/leader/faults_test.go
@@ -7,9 +7,9 @@
 
 	"pgregory.net/rapid"
 
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // truth is what really goes on on the machines of a test, by machine.
@@ -17,7 +17,7 @@
 	l        *Leader
 	faulty   map[string]bool
 	mistaken map[string]bool
-	tasks    map[string]map[fleet.AttemptID]*really
+	tasks    map[string]map[workers.AttemptID]*really
 	starts   map[string]int  // by job
 	bad      map[string]int  // starts on faulty machines
 	caught   map[string]bool // faulty machines that a job without a mistake failed on
@@ -33,41 +33,41 @@
 func (w *truth) step(now time.Time) {
 	w.l.pass(now)
 	w.epoch = settle(w.l, w.epoch)
-	for _, r := range w.l.sortedRigs() {
+	for _, r := range w.l.sortedMachines() {
 		here := w.tasks[r.m.Name]
 		for _, o := range r.m.Orders(true, now) {
-			task, _ := fleet.ParseTaskID(o.Piece)
-			id := fleet.AttemptID{Task: task, Try: o.Try}
+			task, _ := workers.ParseTaskID(o.Piece)
+			id := workers.AttemptID{Task: task, Try: o.Try}
 			switch o.Verb {
-			case fleet.Run:
+			case workers.Run:
 				if here[id] == nil {
-					here[id] = &really{fleet.Running, "", now}
+					here[id] = &really{workers.Running, "", now}
 					w.starts[task.Job]++
 					if w.faulty[r.m.Name] {
 						w.bad[r.m.Name]++
 					}
 				}
-			case fleet.Stop:
-				if k := here[id]; k != nil && k.status != fleet.Exited {
-					k.status, k.cause = fleet.Exited, "halted"
+			case workers.Stop:
+				if k := here[id]; k != nil && k.status != workers.Exited {
+					k.status, k.cause = workers.Exited, "halted"
 				}
-			case fleet.Forget:
+			case workers.Forget:
 				delete(here, id)
 			}
 		}
-		rep := &fleet.Report{Rig: r.m.Name, RigType: r.m.Type, Hall: r.m.Zone, Shift: 1, Tick: r.m.Tick + 1, Warrant: w.l.grant.Term}
+		rep := &workers.Report{Machine: r.m.Name, MachineType: r.m.Type, Hall: r.m.Zone, Shift: 1, Tick: r.m.Tick + 1, Warrant: w.l.grant.Term}
 		for id, k := range here {
 			switch ran := now.Sub(k.since); {
-			case k.status != fleet.Running:
+			case k.status != workers.Running:
 			case (w.faulty[r.m.Name] || w.mistaken[id.Task.Job]) && ran >= 500*time.Millisecond:
-				k.status, k.cause = fleet.Exited, fleet.CauseError
+				k.status, k.cause = workers.Exited, workers.CauseError
 				if !w.mistaken[id.Task.Job] {
 					w.caught[r.m.Name] = true
 				}
 			case ran >= 10*time.Second:
-				k.status, k.cause = fleet.Exited, fleet.CauseDone
+				k.status, k.cause = workers.Exited, workers.CauseDone
 			}
-			rep.Pieces = append(rep.Pieces, fleet.Piece{Piece: id.Task.String(), Try: id.Try, Status: k.status, Cause: k.cause})
+			rep.Pieces = append(rep.Pieces, workers.Piece{Piece: id.Task.String(), Try: id.Try, Status: k.status, Cause: k.cause})
 		}
 		w.l.observe(r, rep, false, now)
 	}
@@ -84,21 +84,21 @@
 func TestFaultyMachinesAndMistakenJobs(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		now := time.Unix(1000, 0)
-		w := &truth{l: testLeader(t), faulty: map[string]bool{}, mistaken: map[string]bool{}, tasks: map[string]map[fleet.AttemptID]*really{},
+		w := &truth{l: testLeader(t), faulty: map[string]bool{}, mistaken: map[string]bool{}, tasks: map[string]map[workers.AttemptID]*really{},
 			starts: map[string]int{}, bad: map[string]int{}, caught: map[string]bool{}, epoch: 100}
 		w.l.teams[0].GPUsMax = 64
 		w.l.teams[0].GPUs = 64
 		for i := range 12 {
 			name := fmt.Sprintf("m-%02d", i)
 			addRig(w.l, name, "east", now)
-			w.tasks[name] = map[fleet.AttemptID]*really{}
+			w.tasks[name] = map[workers.AttemptID]*really{}
 			w.faulty[name] = i < 2 && rapid.Bool().Draw(rt, "faulty")
 		}
 		sound := 0
 		for i := range rapid.IntRange(2, 6).Draw(rt, "jobs") {
 			spec := sweep(fmt.Sprint("j-", i), rapid.IntRange(1, 8).Draw(rt, "pieces"))
 			if rapid.IntRange(0, 2).Draw(rt, "gang") == 0 {
-				spec.Shape, spec.SamePlace = intake.Gang, true
+				spec.Shape, spec.SamePlace = userapi.Gang, true
 			}
 			if i > 0 && rapid.IntRange(0, 3).Draw(rt, "mistaken") == 0 {
 				w.mistaken[spec.NameID] = true
@@ -111,7 +111,7 @@
 			now = now.Add(250 * time.Millisecond)
 			w.step(now)
 		}
-		for name, r := range w.l.rigs {
+		for name, r := range w.l.machines {
 			if r.bad && !w.faulty[name] {
 				rt.Fatalf("%s is taken for faulty and is not", name)
 			}
@@ -142,13 +142,13 @@
 	now := time.Unix(1000, 0)
 	guilty := 0
 	for i := range 20 {
-		if pause, alone := b.note(fmt.Sprint("m-", i), 7, time.Second, false, now); alone != (i >= tuning.BadTaskMachines) || alone && pause != tuning.RetryMax {
+		if pause, alone := b.note(fmt.Sprint("m-", i), 7, time.Second, false, now); alone != (i >= constants.BadTaskMachines) || alone && pause != constants.RetryMax {
 			t.Fatalf("failure %d: pause %v, alone %v", i, pause, alone)
 		}
 		guilty += len(b.guilty(nil, now))
 		now = now.Add(time.Second)
 	}
-	if guilty != tuning.BadTaskMachines {
+	if guilty != constants.BadTaskMachines {
 		t.Errorf("%d machines are held guilty of one task's failures", guilty)
 	}
 }
--- a/internal/leader/gap_test.go
+++ b/internal/leader/gap_test.go
@@ -12,10 +12,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/term"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/election"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/workers"
 )
 
 // TestGapBound: the state service refuses a leader at W, and from then on another
@@ -46,20 +46,20 @@
 					time.Sleep(time.Duration(rng.Int64N(int64(3 * time.Second))))
 				}
 				ch := make(chan Reply, 1)
-				l.hello(&fleet.Report{Rig: "m-1", RigType: "g4", Hall: "east", Shift: 1, Tick: tick, Warrant: l.grant.Term}, time.Now(), ch)
+				l.hello(&workers.Report{Machine: "m-1", MachineType: "g4", Hall: "east", Shift: 1, Tick: tick, Warrant: l.grant.Term}, time.Now(), ch)
 				if rng.IntN(3) == 0 { // the answer is held back, too
 					time.Sleep(time.Duration(rng.Int64N(int64(2 * time.Second))))
 				}
 				l.nextFlush = time.Time{}
-				l.flush(time.Now().Add(tuning.IdleHold))
+				l.flush(time.Now().Add(constants.IdleHold))
 				if a := <-ch; a.Status == 200 {
 					renewed = sent
 					answers++
 				}
 			}
-			slow := func(d time.Duration) time.Duration { return d + time.Duration(float64(d)*tuning.ClockDrift) }
-			fast := func(d time.Duration) time.Duration { return d - time.Duration(float64(d)*tuning.ClockDrift) }
-			gone := renewed.Add(slow(lease) + tuning.WorkerLag)
+			slow := func(d time.Duration) time.Duration { return d + time.Duration(float64(d)*constants.ClockDrift) }
+			fast := func(d time.Duration) time.Duration { return d - time.Duration(float64(d)*constants.ClockDrift) }
+			gone := renewed.Add(slow(lease) + constants.WorkerLag)
 			if limit := told.Add(fast(cancel)); gone.After(limit) {
 				t.Fatalf("seed %d: gone %v too late", seed, gone.Sub(limit))
 			}
@@ -77,7 +77,7 @@
 	asked chan time.Time
 }
 
-func (s slowWatch) Follow(ctx context.Context, _ string, from uint64, _ time.Duration) (uint64, []ledger.Change, error) {
+func (s slowWatch) Follow(ctx context.Context, _ string, from uint64, _ time.Duration) (uint64, []statestore.Change, error) {
 	s.asked <- time.Now()
 	time.Sleep(s.takes)
 	return from, nil, ctx.Err()
@@ -111,11 +111,11 @@
 	l := testLeader(t)
 	l.watched, l.sure = now.Add(-time.Minute), now.Add(-time.Minute)
 	j := addJob(t, l, sweep("j-1", 1), now)
-	l.vouched([]string{"j-1"}, now.Add(-tuning.VouchLate-time.Second), now)
+	l.vouched([]string{"j-1"}, now.Add(-constants.VouchLate-time.Second), now)
 	if j.gone || l.sure.After(now.Add(-time.Minute)) {
 		t.Errorf("late words are taken: gone %v, sure %v", j.gone, now.Sub(l.sure))
 	}
-	asked := now.Add(-tuning.VouchLate / 2)
+	asked := now.Add(-constants.VouchLate / 2)
 	l.vouched([]string{"j-1", "j-2"}, asked, now)
 	if !j.gone || !l.sure.Equal(asked) {
 		t.Errorf("gone %v, sure %v", j.gone, now.Sub(l.sure))
@@ -133,10 +133,10 @@
 	wrote int
 }
 
-func (s *raised) Multi(_ context.Context, _ ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error) {
+func (s *raised) Multi(_ context.Context, _ statestore.Class, when []statestore.Cond, writes []statestore.Write) (uint64, error) {
 	for _, c := range when {
-		if c.K == term.NumberKey {
-			return 0, &ledger.Conflict{Failed: []string{c.K}} // its revision has changed
+		if c.K == election.NumberKey {
+			return 0, &statestore.Conflict{Failed: []string{c.K}} // its revision has changed
 		}
 	}
 	s.wrote += len(writes)
@@ -167,9 +167,9 @@
 }
 
 // direct is workers that note what goes straight to them.
-type direct struct{ orders chan []fleet.Order }
+type direct struct{ orders chan []workers.Order }
 
-func (d direct) Command(_ context.Context, _ string, a fleet.Answer) (*fleet.Report, error) {
+func (d direct) Command(_ context.Context, _ string, a workers.Answer) (*workers.Report, error) {
 	d.orders <- a.Orders
 	return nil, context.Canceled
 }
@@ -180,7 +180,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
 		l := testLeader(t)
-		d := direct{make(chan []fleet.Order, 1)}
+		d := direct{make(chan []workers.Order, 1)}
 		l.d.Workers = d
 		group, ctx := errgroup.WithContext(t.Context())
 		l.ctx, l.tasks = ctx, group
@@ -196,10 +196,10 @@
 		}
 		seats := sortedSeats(j)
 		seats[0].a.Halt, seats[0].a.HaltAt = true, now // to be stopped
-		seats[1].a.Status, seats[1].a.Settled = fleet.Exited, true
-		l.press(r, now)
+		seats[1].a.Status, seats[1].a.Settled = workers.Exited, true
+		l.sendStops(r, now)
 		(<-l.calls)()
-		if got := <-d.orders; len(got) != 1 || got[0].Verb != fleet.Stop {
+		if got := <-d.orders; len(got) != 1 || got[0].Verb != workers.Stop {
 			t.Errorf("straight to the worker went %+v", got)
 		}
 		_ = group.Wait()
@@ -218,7 +218,7 @@
 	if l.next() == nil {
 		t.Fatal("nothing to write")
 	}
-	l.committed(outcome{err: fmt.Errorf("multi: %w", ledger.ErrRefused)})
+	l.committed(outcome{err: fmt.Errorf("multi: %w", statestore.ErrRefused)})
 	if !errors.Is(l.ended, ErrTooLarge) {
 		t.Errorf("ended: %v", l.ended)
 	}
--- a/internal/leader/hints.go
+++ b/internal/leader/hints.go
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // hints are the machines whose holds and images have changed since they were
@@ -16,7 +16,7 @@
 // them, so their records are bounded in bytes a second: starts and ends come first.
 type hints struct {
 	// due is from when on each may be recorded.
-	due    map[*rig]time.Time
+	due    map[*machine]time.Time
 	budget *rate.Limiter // bytes
 }
 
@@ -25,18 +25,18 @@
 func newHints(state config.State, share config.BudgetSettings) hints {
 	_, changes := state.Rates(true)
 	value := state.ValueKB * 1024
-	perSecond := max(value, tuning.HintShare*share.LeaderWriteShare*share.Use*changes*value)
+	perSecond := max(value, constants.HintShare*share.LeaderWriteShare*share.Use*changes*value)
 	return hints{
-		due:    make(map[*rig]time.Time),
-		budget: rate.NewLimiter(rate.Limit(perSecond), int(max(value, perSecond*tuning.HintBurst.Seconds()))),
+		due:    make(map[*machine]time.Time),
+		budget: rate.NewLimiter(rate.Limit(perSecond), int(max(value, perSecond*constants.HintBurst.Seconds()))),
 	}
 }
 
 // hintsChanged has the machine's holds and images recorded again within a while.
-func (l *Leader) hintsChanged(r *rig, now time.Time) {
-	l.touch(r)
+func (l *Leader) hintsChanged(r *machine, now time.Time) {
+	l.markStale(r)
 	if _, waits := l.hints.due[r]; !waits {
-		l.hints.due[r] = now.Add(tuning.HintQuiet)
+		l.hints.due[r] = now.Add(constants.HintQuiet)
 	}
 }
 
--- a/internal/leader/hints_test.go
+++ b/internal/leader/hints_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // TestHintsAreBounded: whatever the number of machines whose images change, their
@@ -17,7 +17,7 @@
 	for _, c := range []struct {
 		changes float64
 		want    float64 // values a second
-	}{{35, tuning.HintShare * tuning.LeaderWriteShare * tuning.BudgetUse * 35}, {10, 1}} {
+	}{{35, constants.HintShare * constants.LeaderWriteShare * constants.BudgetUse * 35}, {10, 1}} {
 		const machines, seconds = 3000, 60
 		now := time.Now()
 		l := testLeader(t)
@@ -28,19 +28,19 @@
 		for i := range machines {
 			r := addRig(l, fmt.Sprintf("m-%06d", i), "east", now)
 			for k := range 6 {
-				r.touch(fmt.Sprintf("img-%02d-%06d", k, i), 5, true, 0)
+				r.useImage(fmt.Sprintf("img-%02d-%06d", k, i), 5, true, 0)
 			}
 			l.hintsChanged(r, now)
 		}
-		l.recordHints(now.Add(tuning.HintQuiet / 2))
+		l.recordHints(now.Add(constants.HintQuiet / 2))
 		if l.counts.HintBytes != 0 {
 			t.Errorf("recorded before it is quiet")
 		}
-		for tick := range int(seconds * time.Second / tuning.TickEvery) {
-			l.recordHints(now.Add(tuning.HintQuiet + time.Duration(tick)*tuning.TickEvery))
+		for tick := range int(seconds * time.Second / constants.TickEvery) {
+			l.recordHints(now.Add(constants.HintQuiet + time.Duration(tick)*constants.TickEvery))
 		}
 		perSecond := max(c.want, 1) * state.ValueKB * 1024
-		if got, most := float64(l.counts.HintBytes), perSecond*(seconds+tuning.HintBurst.Seconds()); got > most || got < most/2 {
+		if got, most := float64(l.counts.HintBytes), perSecond*(seconds+constants.HintBurst.Seconds()); got > most || got < most/2 {
 			t.Errorf("%v changes a second: %.0f bytes in %d s, at most %.0f", c.changes, got, seconds, most)
 		}
 		for hour := 0; len(l.hints.due) > 0 && hour < 100; hour++ {
--- a/internal/leader/inherit.go
+++ b/internal/leader/inherit.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/intake"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/userapi"
 )
 
 // Users set the due time and the priority that they care about on the last job of a
@@ -25,7 +25,7 @@
 func (l *Leader) expects(j *job) time.Duration {
 	ratio := 1.0
 	if r, ok := l.kept[j.spec.Workload]; ok {
-		ratio = min(max(r, 1/tuning.ExpectMost), tuning.ExpectMost)
+		ratio = min(max(r, 1/constants.ExpectMost), constants.ExpectMost)
 	}
 	return config.Seconds(j.spec.ExpectS * ratio)
 }
@@ -40,7 +40,7 @@
 	if !ok {
 		was = ratio
 	}
-	l.kept[j.spec.Workload] = was + (ratio-was)*tuning.ExpectWeight
+	l.kept[j.spec.Workload] = was + (ratio-was)*constants.ExpectWeight
 }
 
 // latest is when a job must start at the latest for itself and those that need it to
@@ -70,7 +70,7 @@
 			}
 			d.priority = max(d.priority, c.view.Priority)
 			if at := l.latest(c); !at.IsZero() {
-				if at = at.Add(-l.expects(p) - tuning.ChainStep); d.start.IsZero() || at.Before(d.start) {
+				if at = at.Add(-l.expects(p) - constants.ChainStep); d.start.IsZero() || at.Before(d.start) {
 					d.start = at
 				}
 			}
@@ -79,7 +79,7 @@
 			continue
 		}
 		p.needed = d
-		p.view.Priority = max(intake.Priority(p.spec.Urgency), d.priority)
+		p.view.Priority = max(userapi.Priority(p.spec.Urgency), d.priority)
 		l.aim(p)
 		for name := range p.before {
 			queue = append(queue, name)
--- a/internal/leader/inherit_test.go
+++ b/internal/leader/inherit_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
-	"thornnotch/internal/intake"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/userapi"
 )
 
 // TestInheritance: whatever the graph, and in whatever order jobs come and are
@@ -28,7 +28,7 @@
 		}
 		var all []*node
 		for n := range rapid.IntRange(1, 14).Draw(t, "jobs") {
-			spec := intake.Job{NameID: fmt.Sprintf("j-%d", n), Workload: "w", Owner: "a", Shape: intake.Sweep, Pieces: 1, VCPUs: 1, RAMGB: 1, Bundle: "i",
+			spec := userapi.Job{NameID: fmt.Sprintf("j-%d", n), Workload: "w", Owner: "a", Shape: userapi.Sweep, Pieces: 1, VCPUs: 1, RAMGB: 1, Bundle: "i",
 				Urgency: rapid.SampledFrom([]string{"idle", "standard", "urgent", "production"}).Draw(t, "urgency"), ExpectS: float64(rapid.IntRange(1, 60).Draw(t, "expect"))}
 			if rapid.Bool().Draw(t, "due") {
 				due := float64(rapid.IntRange(10, 500).Draw(t, "dueS"))
@@ -42,16 +42,16 @@
 				nd.need = append(nd.need, k)
 				spec.WaitsOn = append(spec.WaitsOn, all[k].j.spec.NameID)
 			}
-			raw, err := json.Marshal(intake.Record{Job: spec, AtMS: now.Add(-time.Duration(n) * time.Second).UnixMilli()})
+			raw, err := json.Marshal(userapi.Record{Job: spec, AtMS: now.Add(-time.Duration(n) * time.Second).UnixMilli()})
 			if err != nil {
 				t.Fatal(err)
 			}
-			l.addJob(intake.OpenPrefix+spec.NameID, raw, uint64(100+n), now)
+			l.addJob(userapi.OpenPrefix+spec.NameID, raw, uint64(100+n), now)
 			nd.j = l.jobs[spec.NameID]
 			all = append(all, nd)
 			if rapid.IntRange(0, 5).Draw(t, "cancel") == 0 {
 				if last := all[rapid.IntRange(0, n).Draw(t, "which")]; !last.j.gone {
-					l.bury(last.j, now)
+					l.removeJob(last.j, now)
 				}
 			}
 		}
@@ -61,7 +61,7 @@
 			if a.j.gone {
 				continue
 			}
-			prio, start := intake.Priority(a.j.spec.Urgency), time.Time{}
+			prio, start := userapi.Priority(a.j.spec.Urgency), time.Time{}
 			for _, b := range all[i+1:] {
 				if b.j.gone {
 					continue
@@ -72,7 +72,7 @@
 					}
 					prio = max(prio, b.j.view.Priority)
 					if at := l.latest(b.j); !at.IsZero() {
-						if at = at.Add(-time.Duration(a.j.spec.ExpectS)*time.Second - tuning.ChainStep); start.IsZero() || at.Before(start) {
+						if at = at.Add(-time.Duration(a.j.spec.ExpectS)*time.Second - constants.ChainStep); start.IsZero() || at.Before(start) {
 							start = at
 						}
 					}
@@ -125,13 +125,13 @@
 		for _, name := range spec.WaitsOn {
 			// Up to a minute off, or not recorded.
 			at := now.Add(time.Duration(rapid.IntRange(-160, 60).Draw(rt, "s")) * time.Second)
-			f := intake.Final{Status: intake.Done, AtMS: at.UnixMilli()}
+			f := userapi.Final{Status: userapi.Done, AtMS: at.UnixMilli()}
 			if rapid.IntRange(0, 4).Draw(rt, "kept") == 0 {
 				f.AtMS = 0
 			} else if at.After(last) {
 				last = at
 			}
-			l.fate(name, f, now)
+			l.finalKnown(name, f, now)
 		}
 		if last.After(now) {
 			last = now
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -7,23 +7,23 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/reserve"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/reservations"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // seat is an attempt with the machine that it is on.
 type seat struct {
-	rig *rig
-	a   *fleet.Attempt
+	machine *machine
+	a       *workers.Attempt
 }
 
 // job is one accepted job that has not ended.
 type job struct {
-	spec  *intake.Job
+	spec  *userapi.Job
 	view  placement.Job
 	stamp uint64 // revision of its record, which never changes
 	// servedAt is when a task of it was last given a place, or it came.
@@ -34,7 +34,7 @@
 	doneN int
 	low   int // no task below it waits
 	// exits are attempts reported done whose completion is not yet recorded.
-	exits map[*fleet.Attempt]*rig
+	exits map[*workers.Attempt]*machine
 	// stale is set when the view for placement must be made anew.
 	stale bool
 
@@ -95,7 +95,7 @@
 func (j *job) running() (n int) {
 	for _, seats := range j.seats {
 		for _, s := range seats {
-			if s.a.Status == fleet.Running || s.a.Status == fleet.Saving {
+			if s.a.Status == workers.Running || s.a.Status == workers.Saving {
 				n++
 				break
 			}
@@ -106,24 +106,24 @@
 
 // addJob takes in a job's record.
 func (l *Leader) addJob(key string, v json.RawMessage, stamp uint64, now time.Time) {
-	name := key[len(intake.OpenPrefix):]
+	name := key[len(userapi.OpenPrefix):]
 	if l.jobs[name] != nil || l.finished[name] {
 		return
 	}
-	var rec intake.Record
+	var rec userapi.Record
 	err := json.Unmarshal(v, &rec)
 	spec := rec.Job
-	if err != nil || spec.NameID != name || spec.Pieces < 1 || spec.Pieces > tuning.MaxPieces {
+	if err != nil || spec.NameID != name || spec.Pieces < 1 || spec.Pieces > constants.MaxPieces {
 		l.d.Log.Error("unreadable job", "key", key, "err", err)
 		return
 	}
 	j := &job{
 		spec: &spec, stamp: stamp, servedAt: now,
 		did: make(bitset, (spec.Pieces+7)/8), safe: make(bitset, (spec.Pieces+7)/8),
-		exits: make(map[*fleet.Attempt]*rig), stale: true, seats: make(map[int][]seat), avoid: make(map[string]time.Time),
+		exits: make(map[*workers.Attempt]*machine), stale: true, seats: make(map[int][]seat), avoid: make(map[string]time.Time),
 		again: make(map[int]bool),
 	}
-	j.view = placement.Job{Spec: &spec, Priority: intake.Priority(spec.Urgency), Order: stamp, Submitted: now, Targets: l.targets(&spec, 0)}
+	j.view = placement.Job{Spec: &spec, Priority: userapi.Priority(spec.Urgency), Order: stamp, Submitted: now, Targets: l.targets(&spec, 0)}
 	if at := time.UnixMilli(rec.AtMS); rec.AtMS > 0 && at.Before(now) {
 		j.view.Submitted = at
 	}
@@ -133,7 +133,7 @@
 	l.pipelines[p] = append(l.pipelines[p], j)
 	l.arrivals[spec.Workload]++
 	l.sized(&spec)
-	if needs := (intake.Needs{WaitsOn: spec.WaitsOn, Split: rec.Split}); !needs.None() {
+	if needs := (userapi.Needs{WaitsOn: spec.WaitsOn, Split: rec.Split}); !needs.None() {
 		l.mustWait(j, needs)
 	} else {
 		l.comes(j, now)
@@ -144,7 +144,7 @@
 
 // comes counts a job that may start among those that came lately.
 func (l *Leader) comes(j *job, now time.Time) {
-	if at := j.view.Submitted; now.Sub(at) <= tuning.RecentWindow {
+	if at := j.view.Submitted; now.Sub(at) <= constants.RecentWindow {
 		l.market.recent = append(l.market.recent, arrival{at, demandOf(j, j.spec.Pieces), l.wantsWhole(j.spec)})
 	}
 }
@@ -154,10 +154,10 @@
 // without aims goes by the job's own due time. The image may have to be fetched
 // first. They count from when the job could start; its due time counts from its
 // submission, and it has waited for so long.
-func (l *Leader) targets(spec *intake.Job, waited time.Duration) (out []time.Duration) {
+func (l *Leader) targets(spec *userapi.Job, waited time.Duration) (out []time.Duration) {
 	fetch := 0.0
 	if cat := l.d.Catalog(); cat != nil {
-		for _, t := range cat.RigTypes {
+		for _, t := range cat.MachineTypes {
 			if t.PullGBPerS > 0 {
 				fetch = max(fetch, spec.ImageGB/t.PullGBPerS)
 			}
@@ -201,7 +201,7 @@
 // has finished it, or its user has cancelled it.
 func (l *Leader) jobGone(name string, now time.Time) {
 	if j := l.jobs[name]; j != nil {
-		l.bury(j, now)
+		l.removeJob(j, now)
 		l.d.Log.Debug("job gone", "id", name)
 	}
 	// The watch tells changes in order: nothing older of it can follow.
@@ -209,12 +209,12 @@
 }
 
 // halt stops one attempt.
-func (l *Leader) halt(r *rig, a *fleet.Attempt, grace float64, now time.Time) {
+func (l *Leader) halt(r *machine, a *workers.Attempt, grace float64, now time.Time) {
 	if r.m.Withdraw(a, grace, now) {
 		l.vacate(r, a)
 	}
-	l.touch(r)
-	l.wake(r)
+	l.markStale(r)
+	l.answerSoon(r)
 	l.dirty = true
 }
 
@@ -223,10 +223,10 @@
 	j.short, j.stale = false, true
 	seats := sortedSeats(j)
 	for _, s := range seats {
-		l.halt(s.rig, s.a, grace, now)
+		l.halt(s.machine, s.a, grace, now)
 	}
 	for _, s := range seats {
-		l.press(s.rig, now)
+		l.sendStops(s.machine, now)
 	}
 }
 
@@ -240,14 +240,14 @@
 		if x.a.ID.Task.Index != y.a.ID.Task.Index {
 			return x.a.ID.Task.Index < y.a.ID.Task.Index
 		}
-		return x.rig.m.Name < y.rig.m.Name
+		return x.machine.m.Name < y.machine.m.Name
 	})
 	return out
 }
 
 // occupy notes an attempt with its job.
-func (l *Leader) occupy(r *rig, a *fleet.Attempt) {
-	l.touch(r)
+func (l *Leader) occupy(r *machine, a *workers.Attempt) {
+	l.markStale(r)
 	j := l.jobs[a.ID.Task.Job]
 	if j == nil || a.ID.Task.Index >= j.spec.Pieces {
 		return
@@ -259,14 +259,14 @@
 }
 
 // vacate takes an attempt off its job once it is gone or has exited.
-func (l *Leader) vacate(r *rig, a *fleet.Attempt) {
-	l.touch(r)
+func (l *Leader) vacate(r *machine, a *workers.Attempt) {
+	l.markStale(r)
 	l.committer.log.Del(r.m.Name, recordAttempt(a))
 	j := l.jobs[a.ID.Task.Job]
 	if j == nil {
-		if g := l.ghosts[a.ID.Task.Job]; g != nil {
+		if g := l.endedJobs[a.ID.Task.Job]; g != nil {
 			if g.seats--; g.seats <= 0 {
-				delete(l.ghosts, a.ID.Task.Job)
+				delete(l.endedJobs, a.ID.Task.Job)
 			}
 		}
 		return
@@ -290,45 +290,45 @@
 }
 
 // events takes in what a report or the clock says of a machine's attempts.
-func (l *Leader) events(r *rig, list []fleet.Event, now time.Time) {
+func (l *Leader) events(r *machine, list []workers.Event, now time.Time) {
 	if len(list) > 0 {
-		l.touch(r)
+		l.markStale(r)
 	}
 	for _, e := range list {
 		a := e.Attempt
 		j := l.jobs[a.ID.Task.Job]
 		l.noteImage(r, j, a, now)
 		switch e.Why {
-		case fleet.Alien:
-			if a.Status == fleet.Exited {
+		case workers.Alien:
+			if a.Status == workers.Exited {
 				break // an Ended event follows
 			}
 			l.d.Log.Info("task in no record", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name)
 			l.occupy(r, a)
 			if j == nil {
-				if g := l.ghosts[a.ID.Task.Job]; g != nil {
+				if g := l.endedJobs[a.ID.Task.Job]; g != nil {
 					g.seats++
 				}
 			}
 			if j == nil || a.ID.Task.Index >= j.spec.Pieces {
 				l.halt(r, a, 0, now)
 			} else {
-				l.halt(r, a, j.spec.StashS+tuning.StopGrace.Seconds(), now)
+				l.halt(r, a, j.spec.StashS+constants.StopGrace.Seconds(), now)
 			}
 			l.noteAdd(r, a)
-		case fleet.Seen:
+		case workers.Seen:
 			l.d.Log.Debug("task seen", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name, "status", a.Status)
-			if j != nil && a.Status == fleet.Running && j.started.IsZero() {
+			if j != nil && a.Status == workers.Running && j.started.IsZero() {
 				j.started = now
 				l.fared(j, now)
 			}
-		case fleet.Gone:
+		case workers.Gone:
 			if j != nil {
 				j.again[a.ID.Task.Index] = true
 			}
 			l.vacate(r, a)
 			l.lost(r, j, a, true, now)
-		case fleet.Ended:
+		case workers.Ended:
 			l.vacate(r, a)
 			l.exited(r, j, a, now)
 		}
@@ -341,13 +341,13 @@
 // lost is called when a task of a gang is gone or has ended undone. While the
 // gang still waits for its start, a replacement with the same attempt number
 // completes it; else the others go too, and it starts anew.
-func (l *Leader) lost(r *rig, j *job, a *fleet.Attempt, replace bool, now time.Time) {
-	if j == nil || j.spec.Shape != intake.Gang || j.closing {
+func (l *Leader) lost(r *machine, j *job, a *workers.Attempt, replace bool, now time.Time) {
+	if j == nil || j.spec.Shape != userapi.Gang || j.closing {
 		return
 	}
 	if replace && l.mayReplace(j, a) {
 		j.short, j.stale = true, true
-		j.avoid[r.m.Name] = now.Add(tuning.AvoidFor)
+		j.avoid[r.m.Name] = now.Add(constants.AvoidFor)
 		l.d.Log.Debug("task of a waiting gang to be replaced", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name)
 		return
 	}
@@ -357,8 +357,8 @@
 // dissolve stops what an earlier term had placed of a gang that lacks tasks: it
 // can't be completed any more, and would wait in vain.
 func (l *Leader) dissolve(j *job, now time.Time) {
-	if n := len(j.seats); j.spec.Shape == intake.Gang && n > 0 && n < j.spec.Pieces && !j.closing {
-		l.haltGang(j, j.spec.StashS+tuning.StopGrace.Seconds(), now)
+	if n := len(j.seats); j.spec.Shape == userapi.Gang && n > 0 && n < j.spec.Pieces && !j.closing {
+		l.haltGang(j, j.spec.StashS+constants.StopGrace.Seconds(), now)
 	}
 }
 
@@ -366,7 +366,7 @@
 // known. Should it have started after all, the rest exits for want of the lost
 // task, and that stops the replacement too. Attempts of earlier terms are not
 // completed: what their leader sent last is not known.
-func (l *Leader) mayReplace(j *job, a *fleet.Attempt) bool {
+func (l *Leader) mayReplace(j *job, a *workers.Attempt) bool {
 	if a.Halt || a.Inherited || a.ID.Try != j.gangTry || !l.attempts.owns(a.ID.Try) || len(j.seats) == 0 {
 		return false
 	}
@@ -374,7 +374,7 @@
 		switch {
 		case s.a.Halt, s.a.Inherited, s.a.ID.Try != a.ID.Try:
 			return false
-		case s.a.Status != "" && s.a.Status != fleet.Fetching && s.a.Status != fleet.Waiting:
+		case s.a.Status != "" && s.a.Status != workers.Fetching && s.a.Status != workers.Waiting:
 			return false
 		}
 	}
@@ -382,37 +382,37 @@
 }
 
 // exited takes in a task's exit.
-func (l *Leader) exited(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+func (l *Leader) exited(r *machine, j *job, a *workers.Attempt, now time.Time) {
 	l.d.Log.Debug("task ended", "piece", a.ID.Task, "try", a.ID.Try, "rig", r.m.Name, "cause", a.Cause, "saved", a.Saved)
 	if j == nil || a.ID.Task.Index >= j.spec.Pieces {
-		l.settle(r, a)
+		l.allowForget(r, a)
 		return
 	}
 	replace := false
 	switch a.Cause {
-	case fleet.CauseDone:
+	case workers.CauseDone:
 		l.finish(r, j, a, now)
 		return
-	case fleet.CauseError:
+	case workers.CauseError:
 		l.failedHere(r, j, a, now)
 	case "alone", "mates_gone", "halted":
 		j.again[a.ID.Task.Index] = true
 	default:
 		// Refused: the worker knows better than our books; look again soon.
-		j.notBefore = now.Add(tuning.RetryBase)
+		j.notBefore = now.Add(constants.RetryBase)
 		replace = true
 	}
-	l.settle(r, a)
+	l.allowForget(r, a)
 	l.lost(r, j, a, replace, now)
 }
 
 // finish records a task's completion. The worker may forget it only once the
 // record stands.
-func (l *Leader) finish(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+func (l *Leader) finish(r *machine, j *job, a *workers.Attempt, now time.Time) {
 	first := !j.did.has(a.ID.Task.Index)
 	j.exits[a], j.stale = r, true
 	l.notePace(r, j, a, now)
-	if j.spec.Shape == intake.Gang {
+	if j.spec.Shape == userapi.Gang {
 		// A gang's tasks complete together: one done, all done.
 		if first {
 			for i := range j.spec.Pieces {
@@ -431,13 +431,13 @@
 	l.judge(j, now)  // now: the job may be over in a moment
 	r.accusers = nil // it has carried a task to its end
 	l.settleDone(j)
-	if first || j.spec.Shape == intake.Gang {
+	if first || j.spec.Shape == userapi.Gang {
 		l.reserve(r, j, a, now)
 	}
 	// Another attempt of a task that is done has no purpose.
-	if j.spec.Shape != intake.Gang {
+	if j.spec.Shape != userapi.Gang {
 		for _, s := range j.seats[a.ID.Task.Index] {
-			l.halt(s.rig, s.a, 0, now)
+			l.halt(s.machine, s.a, 0, now)
 		}
 	}
 	l.checkComplete(j)
@@ -459,10 +459,10 @@
 }
 
 // reserve applies the hold rule to the room that a finished task leaves.
-func (l *Leader) reserve(r *rig, j *job, a *fleet.Attempt, now time.Time) {
-	f := reserve.Finish{
-		Job: j.spec.NameID, Pieces: j.spec.Pieces, Started: j.started, Rig: r.m.Name, Next: l.downstreams(j), Now: now,
-		Fits: func(d reserve.Downstream) bool { return r.open(now) && l.mayHold(r, d) },
+func (l *Leader) reserve(r *machine, j *job, a *workers.Attempt, now time.Time) {
+	f := reservations.Finish{
+		Job: j.spec.NameID, Pieces: j.spec.Pieces, Started: j.started, Machine: r.m.Name, Next: l.downstreams(j), Now: now,
+		Fits: func(d reservations.Downstream) bool { return r.open(now) && l.mayHold(r, d) },
 	}
 	if f.Started.IsZero() {
 		f.Started = a.PlannedAt
@@ -478,24 +478,24 @@
 }
 
 // offer gives freed room to stages that hold room from elsewhere.
-func (l *Leader) offer(r *rig, now time.Time) {
+func (l *Leader) offer(r *machine, now time.Time) {
 	if !r.open(now) {
 		return
 	}
-	if l.book.Freed(r.m.Name, func(d reserve.Downstream) bool { return l.mayHold(r, d) }, now) {
+	if l.book.Freed(r.m.Name, func(d reservations.Downstream) bool { return l.mayHold(r, d) }, now) {
 		l.hintsChanged(r, now)
 	}
 }
 
 // mayHold tells whether a machine can and may take a task of a job.
-func (l *Leader) mayHold(r *rig, d reserve.Downstream) bool {
+func (l *Leader) mayHold(r *machine, d reservations.Downstream) bool {
 	j := l.jobs[d.Job]
 	return j != nil && placement.Allowed(&j.view, l.shape(r)) && l.room(r).Fits(d.Need)
 }
 
 // downstreams are the jobs that come after one in its pipeline and wait to start:
 // those that name it, or else the next one of its owner and workload.
-func (l *Leader) downstreams(up *job) []reserve.Downstream {
+func (l *Leader) downstreams(up *job) []reservations.Downstream {
 	if up.edged || len(l.waits.after[up.spec.NameID]) > 0 {
 		return l.downstreamEdges(up)
 	}
@@ -503,11 +503,11 @@
 	if next == nil {
 		return nil
 	}
-	return []reserve.Downstream{heldFor(next, next.view.Pipeline())}
+	return []reservations.Downstream{heldFor(next, next.view.Pipeline())}
 }
 
-func heldFor(j *job, p placement.Pipeline) reserve.Downstream {
-	return reserve.Downstream{Pipeline: p, Job: j.spec.NameID, Pieces: j.spec.Pieces, Priority: j.view.Priority, Need: placement.Need(j.spec)}
+func heldFor(j *job, p placement.Pipeline) reservations.Downstream {
+	return reservations.Downstream{Pipeline: p, Job: j.spec.NameID, Pieces: j.spec.Pieces, Priority: j.view.Priority, Need: placement.Need(j.spec)}
 }
 
 // downstream is the pipeline's earliest job still waiting to start. A job that waits
--- a/internal/leader/largest.go
+++ b/internal/leader/largest.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/userapi"
 )
 
 // The users want most of the largest jobs of each class to begin within four
@@ -23,8 +23,8 @@
 
 // note takes in how one of them fared.
 func (g *largest) note(late bool) {
-	g.good *= tuning.LargestMemory
-	g.late *= tuning.LargestMemory
+	g.good *= constants.LargestMemory
+	g.late *= constants.LargestMemory
 	if late {
 		g.late++
 	} else {
@@ -40,17 +40,17 @@
 		part = g.late / (g.good + g.late)
 	}
 	switch {
-	case part > tuning.LargestPressing:
+	case part > constants.LargestPressing:
 		return placement.LiftAll
-	case part > tuning.LargestLate:
+	case part > constants.LargestLate:
 		return placement.LiftEqual
 	}
 	return placement.NoLift
 }
 
 // sized keeps the largest size of each class up to date.
-func (l *Leader) sized(spec *intake.Job) {
-	if spec.Shape != intake.Gang {
+func (l *Leader) sized(spec *userapi.Job) {
+	if spec.Shape != userapi.Gang {
 		return
 	}
 	g := l.largest[spec.Workload]
@@ -61,7 +61,7 @@
 	if spec.Pieces > g.size {
 		// A few are taken to have begun in time, so that one late one does not
 		// decide.
-		*g = largest{size: spec.Pieces, good: tuning.LargestPrior}
+		*g = largest{size: spec.Pieces, good: constants.LargestPrior}
 	}
 }
 
@@ -69,10 +69,10 @@
 // or when it has waited too long.
 func (l *Leader) fared(j *job, now time.Time) {
 	g := l.largest[j.spec.Workload]
-	if j.noted || j.waiting() || j.inherited && !j.started.IsZero() || g == nil || j.spec.Shape != intake.Gang || j.spec.Pieces < g.size {
+	if j.noted || j.waiting() || j.inherited && !j.started.IsZero() || g == nil || j.spec.Shape != userapi.Gang || j.spec.Pieces < g.size {
 		return
 	}
-	late := now.Sub(j.view.Submitted) > tuning.LargestWithin
+	late := now.Sub(j.view.Submitted) > constants.LargestWithin
 	if !late && j.started.IsZero() {
 		return
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -15,35 +15,35 @@
 	"golang.org/x/sync/errgroup"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/election"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/market"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/reserve"
-	"thornnotch/internal/term"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/provisioning"
+	"thornnotch/internal/reservations"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // Store is what the leader needs of the state service.
 type Store interface {
-	Get(ctx context.Context, class ledger.Class, key string) (ledger.Row, bool, error)
-	List(ctx context.Context, class ledger.Class, prefix string) ([]ledger.Row, uint64, error)
-	Multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error)
-	Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (uint64, []ledger.Change, error)
+	Get(ctx context.Context, class statestore.Class, key string) (statestore.Row, bool, error)
+	List(ctx context.Context, class statestore.Class, prefix string) ([]statestore.Row, uint64, error)
+	Multi(ctx context.Context, class statestore.Class, when []statestore.Cond, writes []statestore.Write) (uint64, error)
+	Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (uint64, []statestore.Change, error)
 }
 
 // Cloud is what the leader needs of the cloud.
 type Cloud interface {
-	Rent(ctx context.Context, r market.Request) ([]string, error)
+	Rent(ctx context.Context, r provisioning.Request) ([]string, error)
 	Return(ctx context.Context, names []string) error
-	List(ctx context.Context, from string) (hosts []market.Host, next string, err error)
+	List(ctx context.Context, from string) (hosts []provisioning.Host, next string, err error)
 }
 
 // Workers sends orders straight to a worker; the answer is its report.
 type Workers interface {
-	Command(ctx context.Context, endpoint string, a fleet.Answer) (*fleet.Report, error)
+	Command(ctx context.Context, endpoint string, a workers.Answer) (*workers.Report, error)
 }
 
 // Deps are the parts of a leader.
@@ -54,14 +54,14 @@
 	Cloud    Cloud
 	Workers  Workers
 	// Catalog gives the newest catalog, or nil while none is known.
-	Catalog func() *market.Catalog
+	Catalog func() *provisioning.Catalog
 	// Vouch asks all nodes for the cancellations that they know of; nil: the
 	// watch alone counts.
 	Vouch Vouch
 	// ReadsLargeRing asks whether all nodes read the log's large ring; nil: they don't.
 	ReadsLargeRing func(ctx context.Context) bool
 	// Drawn tells what this node's calls of a class have drawn; may be nil.
-	Drawn func(ledger.Class) ledger.Drawn
+	Drawn func(statestore.Class) statestore.Drawn
 	Log   *slog.Logger
 }
 
@@ -81,7 +81,7 @@
 // routine that runs it.
 type Leader struct {
 	d     Deps
-	grant term.Grant
+	grant election.Grant
 	lease time.Duration
 	calls chan func()
 	done  chan struct{}
@@ -98,11 +98,11 @@
 	watched, sure time.Time
 	jobs          map[string]*job
 	pipelines     map[placement.Pipeline][]*job
-	rigs          map[string]*rig
-	ordered       []*rig                    // all of rigs by name; nil when it must be made anew
+	machines      map[string]*machine
+	ordered       []*machine                // all of machines by name; nil when it must be made anew
 	use           map[string]placement.Room // what the teams' attempts and holds take, as the views show it
-	waiters       map[*rig]bool             // machines whose report waits for its answer
-	woken         []*rig                    // of these, those that orders have come up for
+	waiters       map[*machine]bool         // machines whose report waits for its answer
+	woken         []*machine                // of these, those that orders have come up for
 	hints         hints
 	nextFlush     time.Time
 	passTook      time.Duration
@@ -110,9 +110,9 @@
 	counts        counts
 	counted       counts // as they were logged last
 	lastLoad      time.Time
-	drawn         map[ledger.Class]ledger.Drawn // as it was logged last
+	drawn         map[statestore.Class]statestore.Drawn // as it was logged last
 	teams         []config.Team
-	book          *reserve.Book
+	book          *reservations.Book
 	attempts      attemptNumbers
 	commanding    int // direct orders under way
 	// commandingSilent are those of them to workers that have not been heard lately.
@@ -121,19 +121,19 @@
 	lastPass         time.Time
 	lastSummary      time.Time
 	committer        committer
-	market           marketState
+	market           provisioningState
 	certainty        time.Duration
 	// beat is when the routine last went round. wokeAt is when it last went on
-	// after it had stood still, and unproven is set from then on until the
+	// after it had stood still, and termUnverified is set from then on until the
 	// state service has said that the term still lasts.
-	beat, wokeAt       time.Time
-	began              time.Time // the term, here
-	unproven, checking bool
+	lastRound, wokeAt             time.Time
+	began                         time.Time // the term, here
+	termUnverified, verifyingTerm bool
 	// finished are jobs that ended here before the watch has told so.
 	finished map[string]bool
-	// ghosts are jobs that are over while attempts of them may still run.
-	ghosts  map[string]*ghost
-	largest map[string]*largest // by class
+	// endedJobs are jobs that are over while attempts of them may still run.
+	endedJobs map[string]*endedJob
+	largest   map[string]*largest // by class
 	// waits is what the jobs that wait for others wait for.
 	waits waits
 	// kept is, by class, how long tasks ran lately against what was expected.
@@ -145,25 +145,25 @@
 }
 
 // New makes a leader for the granted term. Run must be called next.
-func New(d Deps, g term.Grant) *Leader {
+func New(d Deps, g election.Grant) *Leader {
 	w := d.Settings.Params.Workers
 	l := &Leader{
 		d: d, grant: g, lease: config.Seconds(w.LeaseS),
 		calls: make(chan func(), 256), done: make(chan struct{}),
-		jobs: make(map[string]*job), rigs: make(map[string]*rig), teams: d.Settings.Params.Teams,
-		book: reserve.New(reserve.Options{Enabled: d.Operator.Holds.Enabled, Alpha: d.Operator.Holds.Alpha,
+		jobs: make(map[string]*job), machines: make(map[string]*machine), teams: d.Settings.Params.Teams,
+		book: reservations.New(reservations.Options{Enabled: d.Operator.Holds.Enabled, Alpha: d.Operator.Holds.Alpha,
 			P: d.Operator.Holds.P, Threshold: d.Operator.Holds.Threshold}),
 		certainty: certaintyOf(w),
 		attempts:  attemptNumbers{term: g.Term},
 		finished:  make(map[string]bool),
-		ghosts:    make(map[string]*ghost),
+		endedJobs: make(map[string]*endedJob),
 		arrivals:  make(map[string]float64),
 		kept:      make(map[string]float64),
 		rates:     make(rates),
 		largest:   make(map[string]*largest),
 		pipelines: make(map[placement.Pipeline][]*job),
 		use:       make(map[string]placement.Room),
-		waiters:   make(map[*rig]bool),
+		waiters:   make(map[*machine]bool),
 		hints:     newHints(d.Settings.Params.State, d.Operator.Budgets),
 	}
 	l.committer.init()
@@ -182,8 +182,8 @@
 // W + cancel·(1−drift) (TestGapBound).
 func certaintyOf(w config.Workers) time.Duration {
 	cancel, lease := config.Seconds(w.CancelS), config.Seconds(w.LeaseS)
-	drift := time.Duration(float64(cancel+lease) * tuning.ClockDrift)
-	return max(cancel-lease-drift-tuning.WorkerLag, time.Second)
+	drift := time.Duration(float64(cancel+lease) * constants.ClockDrift)
+	return max(cancel-lease-drift-constants.WorkerLag, time.Second)
 }
 
 // do runs f on the leader's routine. It reports false once the term is over.
@@ -207,8 +207,8 @@
 		return fmt.Errorf("load: %w", err)
 	}
 	// A process that was frozen while it read may have been deposed meanwhile.
-	l.wokeAt, l.unproven = time.Now(), true
-	l.prove()
+	l.wokeAt, l.termUnverified = time.Now(), true
+	l.verifyTerm()
 	group.Go(func() error { return l.follow(ctx, epoch) })
 	if l.d.Vouch != nil {
 		group.Go(func() error { return l.askAll(ctx) })
@@ -218,7 +218,7 @@
 }
 
 func (l *Leader) loop(ctx context.Context) error {
-	tick := time.NewTicker(tuning.TickEvery)
+	tick := time.NewTicker(constants.TickEvery)
 	defer tick.Stop()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
@@ -228,7 +228,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case f := <-l.calls:
-			began = l.goesOn()
+			began = l.noteRound()
 			l.counts.Calls += uint64(1 + len(l.calls))
 			f()
 			// Take what else has come in before the costly part.
@@ -236,11 +236,11 @@
 				(<-l.calls)()
 			}
 		case <-tick.C:
-			began = l.goesOn()
+			began = l.noteRound()
 			l.tick(began)
 			l.logLoad(began)
 		case <-alarm.C:
-			began = l.goesOn()
+			began = l.noteRound()
 		}
 		now := time.Now()
 		if l.dirty && !now.Before(l.passDue()) {
@@ -257,39 +257,39 @@
 	return l.ended
 }
 
-// goesOn notes that the routine is at work, and whether it has stood still
+// noteRound notes that the routine is at work, and whether it has stood still
 // before: the process may be frozen for half a minute while its clocks run on.
 // Then all machines seem silent, as their reports wait in our own sockets, and
 // another node may lead. What is written is conditioned on the term; calls to
 // the cloud are not, so they wait until the term has been looked at.
-func (l *Leader) goesOn() time.Time {
+func (l *Leader) noteRound() time.Time {
 	now := time.Now()
-	if gap := now.Sub(l.beat); !l.beat.IsZero() && gap > tuning.StallAfter {
+	if gap := now.Sub(l.lastRound); !l.lastRound.IsZero() && gap > constants.StallAfter {
 		l.d.Log.Info("stood still", "for_s", gap.Seconds(), "term", l.grant.Term)
-		l.wokeAt, l.unproven = now, true
+		l.wokeAt, l.termUnverified = now, true
 	}
-	l.beat = now
+	l.lastRound = now
 	return now
 }
 
-// prove asks whether the term still lasts.
-func (l *Leader) prove() {
-	if l.checking {
+// verifyTerm asks whether the term still lasts.
+func (l *Leader) verifyTerm() {
+	if l.verifyingTerm {
 		return
 	}
-	l.checking = true
+	l.verifyingTerm = true
 	woke := l.wokeAt
 	l.tasks.Go(func() error {
-		row, found, err := l.d.Store.Get(l.ctx, ledger.Lease, term.NumberKey)
+		row, found, err := l.d.Store.Get(l.ctx, statestore.Lease, election.NumberKey)
 		l.do(l.ctx, func() {
-			l.checking = false
+			l.verifyingTerm = false
 			switch {
 			case err != nil:
 				// The next tick asks again.
 			case !found || row.Stamp != l.grant.Stamp:
 				l.end(errDeposed)
 			case woke.Equal(l.wokeAt):
-				l.unproven = false
+				l.termUnverified = false
 				l.dirty = true
 			}
 		})
@@ -300,7 +300,7 @@
 // passDue is when the next placement pass may run. A pass that takes long is
 // followed by a longer pause: reports and records must not wait for passes.
 func (l *Leader) passDue() time.Time {
-	return l.lastPass.Add(min(max(tuning.PassEvery, tuning.PassRest*l.passTook), tuning.PassEveryMost))
+	return l.lastPass.Add(min(max(constants.PassEvery, constants.PassRest*l.passTook), constants.PassEveryMost))
 }
 
 // nextAlarm is when the routine must look again if nothing comes in.
@@ -329,22 +329,22 @@
 
 // follow learns of submissions and cancellations.
 func (l *Leader) follow(ctx context.Context, epoch uint64) error {
-	block := tuning.WatchBlock
+	block := constants.WatchBlock
 	for ctx.Err() == nil {
 		asked := time.Now()
-		next, log, err := l.d.Store.Follow(ctx, intake.OpenPrefix, epoch, block)
+		next, log, err := l.d.Store.Follow(ctx, userapi.OpenPrefix, epoch, block)
 		// After an outage certainty must come back at once, before workers have
 		// to be sent away: the first watch does not wait for a change.
-		block = tuning.WatchBlock
+		block = constants.WatchBlock
 		if err != nil {
 			block = 0
 		}
 		switch {
-		case errors.Is(err, ledger.ErrCompacted):
+		case errors.Is(err, statestore.ErrCompacted):
 			return fmt.Errorf("jobs must be read again: %w", err)
 		case err != nil:
 			l.d.Log.Debug("watch failed", "err", err)
-			pause(ctx, tuning.BackoffMin)
+			pause(ctx, constants.BackoffMin)
 			continue
 		}
 		epoch = next
@@ -357,7 +357,7 @@
 			}
 			for _, c := range log {
 				if c.Remove != "" {
-					l.jobGone(c.Remove[len(intake.OpenPrefix):], now)
+					l.jobGone(c.Remove[len(userapi.OpenPrefix):], now)
 					continue
 				}
 				l.addJob(c.Set, c.V, c.Stamp, now)
@@ -383,26 +383,26 @@
 // tick does what only time brings about.
 func (l *Leader) tick(now time.Time) {
 	for class := range l.arrivals {
-		l.arrivals[class] *= 1 - tuning.TickEvery.Seconds()/tuning.ArrivalMemory.Seconds()
+		l.arrivals[class] *= 1 - constants.TickEvery.Seconds()/constants.ArrivalMemory.Seconds()
 	}
-	l.rates.fade(tuning.TickEvery)
-	l.hears(now)
+	l.rates.fade(constants.TickEvery)
+	l.followTakeover(now)
 	shown := 0
-	for _, r := range l.sortedRigs() {
+	for _, r := range l.sortedMachines() {
 		// That nobody was answered for a lease is our own doing after we stood
 		// still: who leads now knows better, and if we do it is soon known.
-		if !l.unproven {
+		if !l.termUnverified {
 			if ev := r.m.CheckLease(l.grant.Term, l.lease, now); len(ev) > 0 {
 				l.d.Log.Info("machine lost", "rig", r.m.Name, "tasks", len(ev))
 				l.events(r, ev, now)
 			}
 		}
-		l.press(r, now)
+		l.sendStops(r, now)
 		r.suspect = r.m.Suspect(now)
 		switch {
 		case r.m.Deaf || r.m.Doubt:
 			l.probe(r, now)
-		case r.m.Warrant < l.grant.Term && shown < tuning.ShowsAtOnce && !r.calling && now.Sub(r.called) >= l.lease/2:
+		case r.m.Warrant < l.grant.Term && shown < constants.ShowsAtOnce && !r.calling && now.Sub(r.called) >= l.lease/2:
 			// Show the worker the new token, so that it turns to this node
 			// soon and an older leader's answers are dropped. A few at a time:
 			// all at once would take more sockets and time than there are.
@@ -411,7 +411,7 @@
 		}
 	}
 	for _, name := range l.book.Lapse(now, l.stillWaits) {
-		if r := l.rigs[name]; r != nil {
+		if r := l.machines[name]; r != nil {
 			l.hintsChanged(r, now)
 		}
 		l.dirty = true
@@ -424,19 +424,19 @@
 			l.dirty = true
 		}
 	}
-	l.askFates(now)
+	l.readFinals(now)
 	l.askRings(now)
-	l.trade(now)
+	l.provision(now)
 	if now.Sub(l.lastPass) > time.Second {
 		l.dirty = true // estimates and spare room change with time alone
 	}
 }
 
-// sortedRigs lists the machines by name. The list must not be changed.
-func (l *Leader) sortedRigs() []*rig {
+// sortedMachines lists the machines by name. The list must not be changed.
+func (l *Leader) sortedMachines() []*machine {
 	if l.ordered == nil {
-		l.ordered = make([]*rig, 0, len(l.rigs))
-		for _, r := range l.rigs {
+		l.ordered = make([]*machine, 0, len(l.machines))
+		for _, r := range l.machines {
 			l.ordered = append(l.ordered, r)
 		}
 		sort.Slice(l.ordered, func(i, j int) bool { return l.ordered[i].m.Name < l.ordered[j].m.Name })
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -11,15 +11,15 @@
 	"pgregory.net/rapid"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/election"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/market"
 	"thornnotch/internal/placement"
+	"thornnotch/internal/provisioning"
 	"thornnotch/internal/seeded"
-	"thornnotch/internal/term"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 func TestMain(m *testing.M) { os.Exit(seeded.Main(m, 300)) }
@@ -29,18 +29,18 @@
 	set := &config.Settings{Params: config.Params{Teams: []config.Team{{Name: "a", GPUs: 8, GPUsMax: 16}},
 		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 37, GangPeerS: 8, GangWaitS: 30},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 2, ListLagS: 5}}}
-	cat := &market.Catalog{RigTypes: []market.RigType{{SKU: "g4", VCPUs: 32, Accelerators: 4, RAMGB: 256, CacheGB: 80, PullGBPerS: 1,
+	cat := &provisioning.Catalog{MachineTypes: []provisioning.MachineType{{SKU: "g4", VCPUs: 32, Accelerators: 4, RAMGB: 256, CacheGB: 80, PullGBPerS: 1,
 		Rate: 10, MarketPrice: 5, ReadyS: 25, Halls: []string{"east", "west"}}}}
-	l := New(Deps{Settings: set, Operator: config.DefaultOperator(), Catalog: func() *market.Catalog { return cat },
-		Log: slog.New(slog.DiscardHandler)}, term.Grant{Term: 3, Stamp: 7})
+	l := New(Deps{Settings: set, Operator: config.DefaultOperator(), Catalog: func() *provisioning.Catalog { return cat },
+		Log: slog.New(slog.DiscardHandler)}, election.Grant{Term: 3, Stamp: 7})
 	l.loaded = true
 	return l
 }
 
 // addRig gives the leader a machine that has just reported.
-func addRig(l *Leader, name, zone string, now time.Time) *rig {
-	r := l.rig(name, now)
-	r.m.Observe(&fleet.Report{Rig: name, RigType: "g4", Hall: zone, Shift: 1, Tick: 1, Warrant: l.grant.Term}, l.grant.Term, false, now)
+func addRig(l *Leader, name, zone string, now time.Time) *machine {
+	r := l.machine(name, now)
+	r.m.Observe(&workers.Report{Machine: name, MachineType: "g4", Hall: zone, Shift: 1, Tick: 1, Warrant: l.grant.Term}, l.grant.Term, false, now)
 	r.m.Answered = now
 	return r
 }
@@ -54,68 +54,68 @@
 		addRig(l, fmt.Sprint("m-e", i), "east", t0)
 		addRig(l, fmt.Sprint("m-w", i), "west", t0)
 	}
-	now := t0.Add(l.lease + tuning.SilentReturn + time.Second)
+	now := t0.Add(l.lease + constants.SilentReturn + time.Second)
 	for i := range 4 {
-		l.rigs[fmt.Sprint("m-w", i)].m.Heard = now
+		l.machines[fmt.Sprint("m-w", i)].m.Heard = now
 	}
-	l.rigs["m-w0"].m.Heard = t0 // one machine of the other zone died
-	l.retireRigs(now)
-	for name, r := range l.rigs {
+	l.machines["m-w0"].m.Heard = t0 // one machine of the other zone died
+	l.retireMachines(now)
+	for name, r := range l.machines {
 		if want := name == "m-w0"; r.leaving != want {
 			t.Errorf("%s: leaving %v, want %v", name, r.leaving, want)
 		}
 	}
-	v := l.marketView(now)
-	if !v.Refused[market.Pool{Type: "g4", Zone: "east"}] || v.Refused[market.Pool{Type: "g4", Zone: "west"}] {
+	v := l.provisioningView(now)
+	if !v.Refused[provisioning.Pool{Type: "g4", Zone: "east"}] || v.Refused[provisioning.Pool{Type: "g4", Zone: "west"}] {
 		t.Errorf("renting in a zone that can't be reached: %v", v.Refused)
 	}
-	if n := v.Have[market.Pool{Type: "g4", Zone: "east"}]; n != 0 {
+	if n := v.Have[provisioning.Pool{Type: "g4", Zone: "east"}]; n != 0 {
 		t.Errorf("%d silent machines are counted on", n)
 	}
 	// The cut heals: three of the four are back a few seconds before the last.
 	back := now.Add(20 * time.Second)
 	for i := range 3 {
-		l.rigs[fmt.Sprint("m-e", i)].m.Heard = back
+		l.machines[fmt.Sprint("m-e", i)].m.Heard = back
 	}
-	l.retireRigs(back.Add(time.Second))
-	if l.rigs["m-e3"].leaving {
+	l.retireMachines(back.Add(time.Second))
+	if l.machines["m-e3"].leaving {
 		t.Errorf("the last one is given up as the cut heals")
 	}
-	l.retireRigs(back.Add(tuning.DarkAfter + l.lease + tuning.SilentReturn))
-	if !l.rigs["m-e3"].leaving {
+	l.retireMachines(back.Add(constants.UnreachableAfter + l.lease + constants.SilentReturn))
+	if !l.machines["m-e3"].leaving {
 		t.Errorf("one that does not come back with the others is never given up")
 	}
 	for i := range 4 {
-		r := l.rigs[fmt.Sprint("m-e", i)]
+		r := l.machines[fmt.Sprint("m-e", i)]
 		r.m.Heard, r.leaving = t0, false
 	}
-	l.retireRigs(t0.Add(l.lease + tuning.DarkReturn + time.Second))
-	if !l.rigs["m-e0"].leaving {
+	l.retireMachines(t0.Add(l.lease + constants.UnreachableReturn + time.Second))
+	if !l.machines["m-e0"].leaving {
 		t.Errorf("a zone that stays dark is never given up")
 	}
 }
 
 // addJob gives the leader an accepted job.
-func addJob(t testing.TB, l *Leader, j intake.Job, now time.Time) *job {
+func addJob(t testing.TB, l *Leader, j userapi.Job, now time.Time) *job {
 	t.Helper()
-	raw, err := json.Marshal(intake.Record{Job: j, AtMS: now.UnixMilli()})
+	raw, err := json.Marshal(userapi.Record{Job: j, AtMS: now.UnixMilli()})
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.addJob(intake.OpenPrefix+j.NameID, raw, uint64(len(l.jobs)+1), now)
+	l.addJob(userapi.OpenPrefix+j.NameID, raw, uint64(len(l.jobs)+1), now)
 	return l.jobs[j.NameID]
 }
 
-func sweep(id string, pieces int) intake.Job {
-	return intake.Job{NameID: id, Workload: "x", Owner: "a", Shape: intake.Sweep, Urgency: "standard", Pieces: pieces,
+func sweep(id string, pieces int) userapi.Job {
+	return userapi.Job{NameID: id, Workload: "x", Owner: "a", Shape: userapi.Sweep, Urgency: "standard", Pieces: pieces,
 		VCPUs: 1, Accelerators: 1, RAMGB: 1, Bundle: "img", ImageGB: 5, Loaners: true, ExpectS: 30, SnapshotS: 5, StashS: 1}
 }
 
 // report makes a worker's next report with these tasks in this state.
-func report(l *Leader, r *rig, status, cause string) *fleet.Report {
-	rep := &fleet.Report{Rig: r.m.Name, RigType: r.m.Type, Hall: r.m.Zone, Shift: r.m.Shift, Tick: r.m.Tick + 1, Warrant: l.grant.Term}
+func report(l *Leader, r *machine, status, cause string) *workers.Report {
+	rep := &workers.Report{Machine: r.m.Name, MachineType: r.m.Type, Hall: r.m.Zone, Shift: r.m.Shift, Tick: r.m.Tick + 1, Warrant: l.grant.Term}
 	for _, a := range r.m.Sorted() {
-		rep.Pieces = append(rep.Pieces, fleet.Piece{Piece: a.ID.Task.String(), Try: a.ID.Try, Status: status, Cause: cause})
+		rep.Pieces = append(rep.Pieces, workers.Piece{Piece: a.ID.Task.String(), Try: a.ID.Try, Status: status, Cause: cause})
 	}
 	return rep
 }
@@ -145,19 +145,19 @@
 		t.Fatalf("%d placed, %d orders before the record", len(j.seats), len(r.m.Orders(true, now)))
 	}
 	epoch := settle(l, 100)
-	if got := r.m.Orders(true, now); len(got) != 2 || got[0].Verb != fleet.Run {
+	if got := r.m.Orders(true, now); len(got) != 2 || got[0].Verb != workers.Run {
 		t.Fatalf("after the record: %v", got)
 	}
-	l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	l.observe(r, report(l, r, workers.Running, ""), false, now)
 	if len(r.images) != 1 || !r.images[0].have || l.hints.due[r].IsZero() {
 		t.Errorf("the image is not noted for the next leader")
 	}
-	l.observe(r, report(l, r, fleet.Exited, fleet.CauseDone), false, now)
+	l.observe(r, report(l, r, workers.Exited, workers.CauseDone), false, now)
 	if !j.closing || len(r.m.Orders(true, now)) != 0 {
 		t.Fatalf("closing %v, orders %v before completion is recorded", j.closing, r.m.Orders(true, now))
 	}
 	settle(l, epoch)
-	if got := r.m.Orders(true, now); len(got) != 2 || got[0].Verb != fleet.Forget {
+	if got := r.m.Orders(true, now); len(got) != 2 || got[0].Verb != workers.Forget {
 		t.Fatalf("after completion: %v", got)
 	}
 	if l.jobs["j-1"] != nil {
@@ -175,7 +175,7 @@
 	l.pass(now)
 	settle(l, 100)
 	r.m.Orders(true, now)
-	l.observe(r, report(l, r, fleet.Running, ""), false, now)
+	l.observe(r, report(l, r, workers.Running, ""), false, now)
 	r.m.Endpoint = "" // nothing to be told directly here
 	l.jobGone("j-1", now)
 	w, _ := l.world(now)
@@ -186,7 +186,7 @@
 	if len(rec.Attempts) != 3 || rec.Jobs["j-1"].Owner != "a" || roomOf(rec.Jobs["j-1"].Room).GPUs != 1 {
 		t.Errorf("the record does not carry them: %+v", rec)
 	}
-	l.observe(r, report(l, r, fleet.Exited, "halted"), false, now)
+	l.observe(r, report(l, r, workers.Exited, "halted"), false, now)
 	if w, _ = l.world(now); w.Teams["a"].Used.GPUs != 0 {
 		t.Errorf("they count for ever")
 	}
@@ -213,7 +213,7 @@
 	if err := json.Unmarshal(first.Writes[0].V, &head); err != nil || first.Writes[0].Set != wal.HeadKey {
 		t.Fatalf("%+v: %v", first.Writes, err)
 	}
-	clash := &ledger.Conflict{Failed: []string{wal.HeadKey}}
+	clash := &statestore.Conflict{Failed: []string{wal.HeadKey}}
 	l.committed(outcome{err: clash, failed: clash, head: &head, stamp: 55})
 	if l.ended != nil || len(r.m.Orders(true, now)) != 1 {
 		t.Fatalf("the first try stands, but the start does not leave (%v)", l.ended)
@@ -236,8 +236,8 @@
 func TestIdleMachinesOutliveATakeover(t *testing.T) {
 	now := time.Now()
 	l := testLeader(t)
-	l.listed([]market.Host{{NameID: "m-1", RigType: "g4", Hall: "east", Status: "running", HeldS: 400},
-		{NameID: "m-2", RigType: "g4", Hall: "east", Status: "starting", HeldS: 400}}, now)
+	l.listed([]provisioning.Host{{NameID: "m-1", MachineType: "g4", Hall: "east", Status: "running", HeldS: 400},
+		{NameID: "m-2", MachineType: "g4", Hall: "east", Status: "starting", HeldS: 400}}, now)
 	if names := l.returns(now.Add(2 * time.Second)); len(names) != 0 {
 		t.Errorf("returned before they could report: %v", names)
 	}
@@ -253,12 +253,12 @@
 	now := time.Unix(1000, 0)
 	l := testLeader(t)
 	calls := 0
-	for at := now; at.Before(now.Add(time.Minute)); at = at.Add(tuning.TickEvery) {
+	for at := now; at.Before(now.Add(time.Minute)); at = at.Add(constants.TickEvery) {
 		if at.Before(l.market.retryAt) {
 			continue
 		}
 		calls++
-		l.cloudFailed("rent", market.ErrRefused, at)
+		l.cloudFailed("rent", provisioning.ErrRefused, at)
 	}
 	if calls > 20 {
 		t.Errorf("%d calls in a minute of outage", calls)
@@ -276,8 +276,8 @@
 	bad := addRig(l, "m-bad", "east", t0)
 	j := addJob(t, l, sweep("j-1", 6), t0)
 	for i := range 2 {
-		a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: "j-1", Index: i}, Try: uint64(i + 1)}, Shift: 1,
-			Committed: true, Cleared: true, Sent: true, Status: fleet.Running, RanAt: t0}
+		a := &workers.Attempt{ID: workers.AttemptID{Task: workers.TaskID{Job: "j-1", Index: i}, Try: uint64(i + 1)}, Shift: 1,
+			Committed: true, Cleared: true, Sent: true, Status: workers.Running, RanAt: t0}
 		bad.m.Attempts[a.ID] = a
 		l.occupy(bad, a)
 	}
@@ -300,7 +300,7 @@
 			t.Errorf("%v is not saved and stopped", a.ID)
 		}
 	}
-	if !bad.open(now.Add(tuning.SlowPause + time.Second)) {
+	if !bad.open(now.Add(constants.SlowPause + time.Second)) {
 		t.Errorf("it gets no second chance")
 	}
 }
@@ -317,7 +317,7 @@
 	old := addJob(t, l, sweep("j-2", 4), t0)
 	old.again[0] = true
 	for _, x := range []*job{j, old} {
-		l.notePace(r, x, &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: x.spec.NameID}}, RanAt: t0}, t0.Add(time.Second))
+		l.notePace(r, x, &workers.Attempt{ID: workers.AttemptID{Task: workers.TaskID{Job: x.spec.NameID}}, RanAt: t0}, t0.Add(time.Second))
 		if len(x.pace.runs) != 0 {
 			t.Errorf("%s: a part of a run is taken for a whole one", x.spec.NameID)
 		}
@@ -334,7 +334,7 @@
 	for i := range 3 {
 		addRig(l, fmt.Sprint("m-", i), "east", now)
 	}
-	spec := sweep("j-00000000000000000001", tuning.MaxPieces)
+	spec := sweep("j-00000000000000000001", constants.MaxPieces)
 	spec.VCPUs, spec.Accelerators, spec.RAMGB = 0.01, 0, 0.01
 	j := addJob(t, l, spec, now)
 	for i := range spec.Pieces - 300 {
@@ -383,13 +383,13 @@
 	add := func(pieces int, began time.Duration) {
 		n++
 		spec := sweep(fmt.Sprint("j-", n), pieces)
-		spec.Shape, spec.SamePlace = intake.Gang, true
+		spec.Shape, spec.SamePlace = userapi.Gang, true
 		j := addJob(t, l, spec, now)
 		if began > 0 {
 			j.started = now.Add(began)
 			l.fared(j, now.Add(began))
 		} else {
-			l.fared(j, now.Add(tuning.LargestWithin+time.Second)) // it still waits
+			l.fared(j, now.Add(constants.LargestWithin+time.Second)) // it still waits
 		}
 	}
 	add(8, 20*time.Second)
@@ -425,10 +425,10 @@
 	now := time.Now()
 	l := testLeader(t)
 	spec := sweep("j-1", 2)
-	spec.Shape, spec.SamePlace, spec.Accelerators = intake.Gang, true, 4
+	spec.Shape, spec.SamePlace, spec.Accelerators = userapi.Gang, true, 4
 	j := addJob(t, l, spec, now)
 	r := addRig(l, "m-1", "east", now)
-	a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: "j-1"}, Try: 9}, Shift: 1, Inherited: true, Sent: true, Committed: true}
+	a := &workers.Attempt{ID: workers.AttemptID{Task: workers.TaskID{Job: "j-1"}, Try: 9}, Shift: 1, Inherited: true, Sent: true, Committed: true}
 	r.m.Attempts[a.ID] = a
 	l.occupy(r, a)
 	l.dissolve(j, now)
@@ -441,7 +441,7 @@
 // replacement under the same number, in the same zone; one that has run, or
 // that is told that its mates are gone, starts anew as a whole.
 func TestWaitingGangIsCompleted(t *testing.T) {
-	for _, status := range []string{fleet.Waiting, fleet.Running} {
+	for _, status := range []string{workers.Waiting, workers.Running} {
 		now := time.Now()
 		l := testLeader(t)
 		for i := range 3 {
@@ -449,7 +449,7 @@
 			addRig(l, fmt.Sprint("m-w", i), "west", now)
 		}
 		spec := sweep("j-1", 2)
-		spec.Shape, spec.SamePlace, spec.Accelerators = intake.Gang, true, 4
+		spec.Shape, spec.SamePlace, spec.Accelerators = userapi.Gang, true, 4
 		j := addJob(t, l, spec, now)
 		l.pass(now)
 		epoch := settle(l, 100)
@@ -459,15 +459,15 @@
 		}
 		try := j.gangTry
 		for _, s := range seats {
-			s.rig.m.Orders(true, now)
-			l.observe(s.rig, report(l, s.rig, status, ""), false, now)
+			s.machine.m.Orders(true, now)
+			l.observe(s.machine, report(l, s.machine, status, ""), false, now)
 		}
-		lost := seats[1].rig
+		lost := seats[1].machine
 		l.events(lost, lost.m.Returned(), now)
 		lost.leaving = true
 		l.pass(now)
 		settle(l, epoch)
-		if status == fleet.Running {
+		if status == workers.Running {
 			if !seats[0].a.Halt || len(j.seats) != 1 {
 				t.Errorf("the rest of a running gang goes on: %v", j.seats)
 			}
@@ -478,10 +478,10 @@
 			t.Fatalf("not completed: %+v", again)
 		}
 		fresh := again[1]
-		if fresh.a.ID.Try != try || fresh.rig == lost || fresh.rig.m.Zone != seats[0].rig.m.Zone || !fresh.a.Cleared {
-			t.Errorf("replaced by %+v on %s", fresh.a, fresh.rig.m.Name)
+		if fresh.a.ID.Try != try || fresh.machine == lost || fresh.machine.m.Zone != seats[0].machine.m.Zone || !fresh.a.Cleared {
+			t.Errorf("replaced by %+v on %s", fresh.a, fresh.machine.m.Name)
 		}
-		l.observe(seats[0].rig, report(l, seats[0].rig, fleet.Exited, "mates_gone"), false, now)
+		l.observe(seats[0].machine, report(l, seats[0].machine, workers.Exited, "mates_gone"), false, now)
 		if len(j.seats) != 0 && !sortedSeats(j)[0].a.Halt {
 			t.Errorf("the replacement outlives its gang")
 		}
@@ -510,14 +510,14 @@
 		t.Errorf("a copy is kept waiting")
 	}
 	l.market.returned["m-9"] = now
-	l.hello(&fleet.Report{Rig: "m-9", RigType: "g4", Hall: "east", Shift: 1, Tick: 1, Warrant: 3}, now, ch)
-	if a := <-ch; a.Status != 503 || l.rigs["m-9"] != nil {
+	l.hello(&workers.Report{Machine: "m-9", MachineType: "g4", Hall: "east", Shift: 1, Tick: 1, Warrant: 3}, now, ch)
+	if a := <-ch; a.Status != 503 || l.machines["m-9"] != nil {
 		t.Errorf("a returned machine is back: %d", a.Status)
 	}
-	delete(l.rigs, "m-1")
+	delete(l.machines, "m-1")
 	l.ordered = nil
 	j := addJob(t, l, sweep("j-1", 1), now)
-	stale := &fleet.Report{Rig: "m-2", RigType: "g4", Hall: "east", Shift: 1, Tick: 400, Warrant: l.grant.Term - 1}
+	stale := &workers.Report{Machine: "m-2", MachineType: "g4", Hall: "east", Shift: 1, Tick: 400, Warrant: l.grant.Term - 1}
 	l.hello(stale, now, ch)
 	l.pass(now)
 	if len(j.seats) != 0 {
@@ -540,7 +540,7 @@
 	r := addRig(l, "m-1", "east", now)
 	last := r.m.Answered
 	r.m.Deaf = true
-	l.touch(r)
+	l.markStale(r)
 	ch := make(chan Reply, 1)
 	l.hello(report(l, r, "", ""), now.Add(time.Second), ch)
 	l.flush(now.Add(3 * time.Second))
@@ -566,8 +566,8 @@
 		l.sure = now
 		l.teams = append(l.teams, config.Team{Name: "b", GPUs: 4, GPUsMax: 12})
 		epoch, jobs, machines := uint64(100), 0, 0
-		pick := func() *rig {
-			list := l.sortedRigs()
+		pick := func() *machine {
+			list := l.sortedMachines()
 			if len(list) == 0 {
 				rt.Skip()
 			}
@@ -585,7 +585,7 @@
 				spec := sweep(fmt.Sprint("j-", jobs), rapid.IntRange(1, 5).Draw(rt, "pieces"))
 				spec.Owner = rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "owner")
 				if rapid.Bool().Draw(rt, "gang") {
-					spec.Shape, spec.SamePlace, spec.Pieces = intake.Gang, true, 2
+					spec.Shape, spec.SamePlace, spec.Pieces = userapi.Gang, true, 2
 				}
 				if jobs > 1 && rapid.Bool().Draw(rt, "waits") {
 					spec.WaitsOn = []string{fmt.Sprint("j-", rapid.IntRange(1, jobs-1).Draw(rt, "for"))}
@@ -596,10 +596,10 @@
 			"commit": func(*rapid.T) { epoch = settle(l, epoch) },
 			"report": func(*rapid.T) {
 				r := pick()
-				status := rapid.SampledFrom([]string{fleet.Fetching, fleet.Running, fleet.Exited}).Draw(rt, "status")
+				status := rapid.SampledFrom([]string{workers.Fetching, workers.Running, workers.Exited}).Draw(rt, "status")
 				cause := ""
-				if status == fleet.Exited {
-					cause = rapid.SampledFrom([]string{fleet.CauseDone, "halted", fleet.CauseError}).Draw(rt, "cause")
+				if status == workers.Exited {
+					cause = rapid.SampledFrom([]string{workers.CauseDone, "halted", workers.CauseError}).Draw(rt, "cause")
 				}
 				rep := report(l, r, status, cause)
 				if rapid.IntRange(0, 4).Draw(rt, "some") == 0 {
@@ -615,7 +615,7 @@
 			},
 			"session": func(*rapid.T) {
 				r := pick()
-				rep := report(l, r, fleet.Running, "")
+				rep := report(l, r, workers.Running, "")
 				rep.Shift, rep.Pieces = rep.Shift+1, nil
 				l.observe(r, rep, false, now)
 			},
@@ -629,7 +629,7 @@
 			"": func(*rapid.T) {
 				w, _ := l.world(now)
 				want := map[string]float64{}
-				for _, r := range l.rigs {
+				for _, r := range l.machines {
 					for _, a := range r.m.Attempts {
 						if a.Live() {
 							want[l.ownerOf(a)] += l.needOf(a).GPUs
@@ -655,14 +655,14 @@
 	now := time.Now()
 	l := testLeader(t)
 	j := addJob(t, l, sweep("j-1", 20), now)
-	rigs := []ledger.Row{{K: "rig/m-1", Stamp: 5, V: json.RawMessage(
+	machines := []statestore.Row{{K: "rig/m-1", Stamp: 5, V: json.RawMessage(
 		`{"t":"g4","z":"east","e":"h:1","h":2,"a":[{"p":"j-1/3","t":9,"h":2},{"p":"j-0/0","t":8,"h":2}],"j":{"j-0":{"w":"a","r":[1,2,3]},"j-1":{"w":"a","r":[1,1,1]}},"i":[{"n":"img","g":5}]}`)}}
-	dids := []ledger.Row{{K: "did/j-1/0", Stamp: 6, V: json.RawMessage(`"BQAA"`)}, {K: "did/j-1/x", Stamp: 7, V: json.RawMessage(`7`)}}
-	if err := l.restoreOld(rigs, dids, now); err != nil {
+	dids := []statestore.Row{{K: "did/j-1/0", Stamp: 6, V: json.RawMessage(`"BQAA"`)}, {K: "did/j-1/x", Stamp: 7, V: json.RawMessage(`7`)}}
+	if err := l.restoreOld(machines, dids, now); err != nil {
 		t.Fatal(err)
 	}
-	r := l.rigs["m-1"]
-	if len(j.seats[3]) != 1 || j.doneN != 2 || !j.safe.has(2) || r.m.Zone != "east" || len(r.images) != 1 || l.ghosts["j-0"].need.GPUs != 2 {
+	r := l.machines["m-1"]
+	if len(j.seats[3]) != 1 || j.doneN != 2 || !j.safe.has(2) || r.m.Zone != "east" || len(r.images) != 1 || l.endedJobs["j-0"].need.GPUs != 2 {
 		t.Errorf("not all was read: seats %v, %d done, %+v", j.seats, j.doneN, r.m)
 	}
 	r.m.Endpoint = ""
@@ -671,7 +671,7 @@
 	if len(l.committer.remains) != 0 || l.legacy != nil {
 		t.Errorf("they are not removed: %v", l.committer.remains)
 	}
-	if err := l.restoreOld([]ledger.Row{{K: "rig/m-2", V: json.RawMessage(`"x"`)}}, nil, now); err == nil {
+	if err := l.restoreOld([]statestore.Row{{K: "rig/m-2", V: json.RawMessage(`"x"`)}}, nil, now); err == nil {
 		t.Errorf("a machine's record that can't be read may hide a task, and is passed over")
 	}
 }
--- a/internal/leader/rig.go
+++ b/internal/leader/machine.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/market"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/provisioning"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // image is one image on a machine, or on its way there.
@@ -20,18 +20,18 @@
 	have bool
 }
 
-// rig is one machine: the worker's session and what the leader keeps of it.
-type rig struct {
-	m     *fleet.Machine
+// machine is one machine: the worker's session and what the leader keeps of it.
+type machine struct {
+	m     *workers.Machine
 	since time.Time
 
 	// metaNoted is set once its type, place and so on are in the log.
 	metaNoted bool
-	noted     wal.Rig // as it was noted last
+	noted     wal.Machine // as it was noted last
 
 	// view is the machine as placement sees it, made at viewAt; stale is set
 	// when it must be made anew. counted is what it adds to the teams' use.
-	view    *placement.Rig
+	view    *placement.Machine
 	viewAt  time.Time
 	stale   bool
 	counted []ownerUse
@@ -47,7 +47,6 @@
 	leaving     bool // being returned; it gets no more tasks
 	// leavingSafe is set once the record says so, or none exists.
 	leavingSafe bool
-	returning   bool
 	idleSince   time.Time
 	// calling is set while a direct order is under way; called is when the
 	// last one was sent.
@@ -72,49 +71,49 @@
 	reply   chan<- Reply
 }
 
-// rig finds a machine, or makes a new one.
-func (l *Leader) rig(name string, now time.Time) *rig {
-	r := l.rigs[name]
+// machine finds a machine, or makes a new one.
+func (l *Leader) machine(name string, now time.Time) *machine {
+	r := l.machines[name]
 	if r == nil {
-		r = &rig{m: fleet.NewMachine(name), since: now, idleSince: now}
-		l.rigs[name] = r
+		r = &machine{m: workers.NewMachine(name), since: now, idleSince: now}
+		l.machines[name] = r
 		l.ordered = nil
-		l.touch(r)
+		l.markStale(r)
 	}
 	return r
 }
 
 // forget drops a machine that is no more.
-func (l *Leader) forget(r *rig) {
-	delete(l.rigs, r.m.Name)
+func (l *Leader) forget(r *machine) {
+	delete(l.machines, r.m.Name)
 	delete(l.hints.due, r)
 	delete(l.waiters, r)
 	l.ordered = nil
 	l.count(r, nil)
 }
 
-// touch has the machine's view made anew for the next pass. Whatever changes
+// markStale has the machine's view made anew for the next pass. Whatever changes
 // its attempts, holds or images must call it: the teams' use depends on it.
-func (l *Leader) touch(r *rig) { r.stale = true }
+func (l *Leader) markStale(r *machine) { r.stale = true }
 
 // pool is where the machine was rented from.
-func (r *rig) pool() market.Pool {
-	return market.Pool{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
+func (r *machine) pool() provisioning.Pool {
+	return provisioning.Pool{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
 }
 
 // open tells whether new tasks may be put on the machine.
-func (r *rig) open(now time.Time) bool {
+func (r *machine) open(now time.Time) bool {
 	return r.m.Known && !r.leaving && !r.bad && !now.Before(r.pausedUntil) && r.m.Recall.IsZero() && r.m.Shift > r.m.EndedShift && !r.slow(now) &&
 		!r.m.Deaf && !r.m.Doubt && !r.suspect
 }
 
 // noteImage follows which images are on the machine.
-func (l *Leader) noteImage(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+func (l *Leader) noteImage(r *machine, j *job, a *workers.Attempt, now time.Time) {
 	if j == nil {
 		return
 	}
-	have := a.Status == fleet.Waiting || a.Status == fleet.Running || a.Status == fleet.Saving ||
-		a.Status == fleet.Exited && a.Cause == fleet.CauseDone
+	have := a.Status == workers.Waiting || a.Status == workers.Running || a.Status == workers.Saving ||
+		a.Status == workers.Exited && a.Cause == workers.CauseDone
 	if !have {
 		return
 	}
@@ -122,14 +121,14 @@
 	for _, im := range r.images {
 		known = known || im.name == j.spec.Bundle && im.have
 	}
-	r.touch(j.spec.Bundle, j.spec.ImageGB, true, l.cacheOf(r))
+	r.useImage(j.spec.Bundle, j.spec.ImageGB, true, l.cacheOf(r))
 	if !known {
 		// The next leader must know too, or it fetches where it need not.
 		l.hintsChanged(r, now)
 	}
 }
 
-func (l *Leader) cacheOf(r *rig) float64 {
+func (l *Leader) cacheOf(r *machine) float64 {
 	t, ok := l.d.Catalog().Type(r.m.Type)
 	if !ok {
 		return 0
@@ -137,8 +136,8 @@
 	return t.CacheGB
 }
 
-// touch marks an image as used last and drops what no longer fits.
-func (r *rig) touch(name string, gb float64, have bool, cache float64) {
+// useImage marks an image as used last and drops what no longer fits.
+func (r *machine) useImage(name string, gb float64, have bool, cache float64) {
 	for i, im := range r.images {
 		if im.name == name {
 			have = have || im.have
@@ -158,7 +157,7 @@
 }
 
 // room is what is free on the machine beside its tasks and holds.
-func (l *Leader) room(r *rig) placement.Room {
+func (l *Leader) room(r *machine) placement.Room {
 	t, ok := l.d.Catalog().Type(r.m.Type)
 	if !ok {
 		return placement.Room{}
@@ -171,7 +170,7 @@
 }
 
 // used is what the machine's attempts take.
-func (l *Leader) used(r *rig) (sum placement.Room) {
+func (l *Leader) used(r *machine) (sum placement.Room) {
 	for _, a := range r.m.Attempts {
 		if a.Live() {
 			sum = sum.Add(l.needOf(a))
@@ -182,61 +181,61 @@
 
 // needOf is what an attempt takes. One whose job is gone is remembered by
 // size, as it still occupies its machine.
-func (l *Leader) needOf(a *fleet.Attempt) placement.Room {
+func (l *Leader) needOf(a *workers.Attempt) placement.Room {
 	if j := l.jobs[a.ID.Task.Job]; j != nil {
 		return placement.Need(j.spec)
 	}
-	if g := l.ghosts[a.ID.Task.Job]; g != nil {
+	if g := l.endedJobs[a.ID.Task.Job]; g != nil {
 		return g.need
 	}
 	return placement.Room{}
 }
 
 // ownerOf is the team that an attempt counts for.
-func (l *Leader) ownerOf(a *fleet.Attempt) string {
+func (l *Leader) ownerOf(a *workers.Attempt) string {
 	if j := l.jobs[a.ID.Task.Job]; j != nil {
 		return j.spec.Owner
 	}
-	if g := l.ghosts[a.ID.Task.Job]; g != nil {
+	if g := l.endedJobs[a.ID.Task.Job]; g != nil {
 		return g.owner
 	}
 	return ""
 }
 
-// ghost is what is remembered of a job that is over while attempts of it may
+// endedJob is what is remembered of a job that is over while attempts of it may
 // still be on machines.
-type ghost struct {
+type endedJob struct {
 	owner string
 	need  placement.Room
 	seats int // attempts not proven gone
 }
 
 // shape is the machine as the job rules see it.
-func (l *Leader) shape(r *rig) *placement.Rig {
-	return &placement.Rig{Name: r.m.Name, Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
+func (l *Leader) shape(r *machine) *placement.Machine {
+	return &placement.Machine{Name: r.m.Name, Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot}
 }
 
-// press sends stops straight to a worker, so that they need not wait for its
+// sendStops sends stops straight to a worker, so that they need not wait for its
 // next report. One that has not been heard for a while is most likely cut off:
 // orders to it hang until their time is over, and a whole dark zone's would
 // take the sockets and the places that the others' stops need.
-func (l *Leader) press(r *rig, now time.Time) {
-	again := tuning.StopResend
+func (l *Leader) sendStops(r *machine, now time.Time) {
+	again := constants.StopResend
 	if l.silent(r, now) > l.quiet() {
-		again = tuning.StopResendSilent
+		again = constants.StopResendSilent
 	}
 	due := false
 	for _, a := range r.m.Attempts {
-		if a.Halt && a.Status != fleet.Exited && (a.Sent || a.Inherited) && now.Sub(a.Pressed) >= again {
+		if a.Halt && a.Status != workers.Exited && (a.Sent || a.Inherited) && now.Sub(a.Pressed) >= again {
 			due = true
 		}
 	}
 	if !due {
 		return
 	}
-	var orders []fleet.Order
+	var orders []workers.Order
 	for _, o := range r.m.Orders(false, now) {
-		if o.Verb == fleet.Stop {
+		if o.Verb == workers.Stop {
 			orders = append(orders, o)
 		}
 	}
@@ -252,7 +251,7 @@
 
 // quiet is how long a worker may well be silent: a few of its reports.
 func (l *Leader) quiet() time.Duration {
-	return time.Duration(tuning.QuietReports * float64(config.Seconds(l.d.Settings.Params.Workers.ReportS)))
+	return time.Duration(constants.QuietReports * float64(config.Seconds(l.d.Settings.Params.Workers.ReportS)))
 }
 
 // command sends orders to a worker's own address. They may arrive minutes
@@ -262,16 +261,16 @@
 // So many are under way at once at most, half of these for stops alone and half for
 // workers that have been heard of late: a node has few sockets beside those of its
 // workers. It reports false when the order has to wait for others.
-func (l *Leader) command(r *rig, orders []fleet.Order, now time.Time) bool {
+func (l *Leader) command(r *machine, orders []workers.Order, now time.Time) bool {
 	if r.m.Endpoint == "" || r.m.Shift == 0 || r.calling && len(orders) == 0 {
 		return true
 	}
 	silent := l.silent(r, now) > l.quiet()
-	most := tuning.CommandsAtOnce
+	most := constants.CommandsAtOnce
 	if len(orders) == 0 {
 		most /= 2
 	}
-	if l.commanding >= most || silent && l.commandingSilent >= tuning.CommandsSilent {
+	if l.commanding >= most || silent && l.commandingSilent >= constants.CommandsSilent {
 		l.counts.Postponed++
 		return false
 	}
@@ -290,9 +289,9 @@
 	r.calling = true
 	l.counts.Commands++
 	if orders == nil {
-		orders = []fleet.Order{}
+		orders = []workers.Order{}
 	}
-	a := fleet.Answer{Warrant: l.grant.Term, Shift: r.m.Shift, Orders: orders}
+	a := workers.Answer{Warrant: l.grant.Term, Shift: r.m.Shift, Orders: orders}
 	endpoint := r.m.Endpoint
 	l.tasks.Go(func() error {
 		rep, err := l.d.Workers.Command(l.ctx, endpoint, a)
@@ -303,7 +302,7 @@
 		}
 		l.do(l.ctx, func() {
 			answered()
-			if l.rigs[r.m.Name] == r && rep.Rig == r.m.Name {
+			if l.machines[r.m.Name] == r && rep.Machine == r.m.Name {
 				l.observe(r, rep, true, time.Now())
 			}
 		})
@@ -313,7 +312,7 @@
 }
 
 // observe takes in a report, by whichever way it came.
-func (l *Leader) observe(r *rig, rep *fleet.Report, direct bool, now time.Time) (fresh bool) {
+func (l *Leader) observe(r *machine, rep *workers.Report, direct bool, now time.Time) (fresh bool) {
 	if rep.Warrant > l.grant.Term {
 		l.end(errDeposed)
 		return false
@@ -327,7 +326,7 @@
 	}
 	r.suspect = r.m.Suspect(now)
 	if r.m.Deaf != deaf {
-		l.touch(r)
+		l.markStale(r)
 		l.d.Log.Info("machine does not hear", "rig", r.m.Name, "deaf", r.m.Deaf)
 		l.dirty = true
 	}
@@ -343,7 +342,7 @@
 	}
 	if !known {
 		l.dirty = true
-		l.touch(r)
+		l.markStale(r)
 		l.arrived(r, now)
 	}
 	if before != r.m.Shift {
@@ -351,7 +350,7 @@
 			l.d.Log.Info("machine began a new session", "rig", r.m.Name, "shift", r.m.Shift, "lost", len(ev))
 		}
 		r.images = keepImages(r.images)
-		l.touch(r)
+		l.markStale(r)
 		l.dirty = true
 	}
 	l.events(r, ev, now)
@@ -373,7 +372,7 @@
 
 // drain stops what runs on a machine that the cloud takes away, while there
 // is time to save. A notice may be half as long as it says.
-func (l *Leader) drain(r *rig, now time.Time) {
+func (l *Leader) drain(r *machine, now time.Time) {
 	for _, a := range r.m.Sorted() {
 		if a.Halt || !a.Live() {
 			continue
@@ -383,8 +382,8 @@
 			l.halt(r, a, 0, now)
 			continue
 		}
-		grace := j.spec.StashS + tuning.StopGrace.Seconds()
-		if j.spec.Shape == intake.Gang {
+		grace := j.spec.StashS + constants.StopGrace.Seconds()
+		if j.spec.Shape == userapi.Gang {
 			l.haltGang(j, grace, now)
 		} else {
 			l.halt(r, a, grace, now)
@@ -397,8 +396,8 @@
 }
 
 // probe tries to reach a worker directly: an answer shows that it hears.
-func (l *Leader) probe(r *rig, now time.Time) {
-	if now.Sub(r.called) >= tuning.ProbeEvery {
+func (l *Leader) probe(r *machine, now time.Time) {
+	if now.Sub(r.called) >= constants.ProbeEvery {
 		l.command(r, nil, now)
 	}
 }
@@ -406,12 +405,12 @@
 // Reply is the answer to a report.
 type Reply struct {
 	Status int
-	Answer fleet.Answer
+	Answer workers.Answer
 }
 
 // Hello answers a worker's report. The answer may be kept back for a moment
 // so that orders can go with it.
-func (l *Leader) Hello(ctx context.Context, rep *fleet.Report) (Reply, bool) {
+func (l *Leader) Hello(ctx context.Context, rep *workers.Report) (Reply, bool) {
 	ch := make(chan Reply, 1)
 	arrived := time.Now()
 	if !l.do(ctx, func() { l.hello(rep, arrived, ch) }) {
@@ -426,7 +425,7 @@
 	return Reply{}, false
 }
 
-func (l *Leader) hello(rep *fleet.Report, arrived time.Time, ch chan<- Reply) {
+func (l *Leader) hello(rep *workers.Report, arrived time.Time, ch chan<- Reply) {
 	now := time.Now()
 	if now.Sub(l.sure) > l.certainty {
 		// Another node may have accepted a cancellation that we can't know
@@ -434,12 +433,12 @@
 		ch <- Reply{Status: 503}
 		return
 	}
-	if _, gone := l.market.returned[rep.Rig]; gone {
+	if _, gone := l.market.returned[rep.Machine]; gone {
 		// The cloud has confirmed its end: this report was under way since.
 		ch <- Reply{Status: 503}
 		return
 	}
-	r := l.rig(rep.Rig, now)
+	r := l.machine(rep.Machine, now)
 	l.counts.Reports++
 	if r.m.Copy(rep) {
 		l.counts.Copies++
@@ -466,19 +465,19 @@
 		// The worker has given up the earlier report.
 		r.waiter.reply <- Reply{Status: 503}
 	}
-	hold := tuning.AnswerHold
+	hold := constants.AnswerHold
 	if len(r.m.Attempts) == 0 {
-		hold = min(tuning.IdleHold, l.lease/4)
+		hold = min(constants.IdleHold, l.lease/4)
 	}
 	r.waiter = &waiter{shift: rep.Shift, arrived: arrived, until: arrived.Add(hold), reply: ch}
 	l.waiters[r] = true
 	if r.m.HasOrders() {
-		l.wake(r)
+		l.answerSoon(r)
 	}
 }
 
 // wake has a waiting report answered, as there are orders for it.
-func (l *Leader) wake(r *rig) {
+func (l *Leader) answerSoon(r *machine) {
 	if r.waiter != nil {
 		l.woken = append(l.woken, r)
 	}
@@ -494,7 +493,7 @@
 	if now.Before(l.nextFlush) {
 		return
 	}
-	l.nextFlush = now.Add(tuning.FlushEvery)
+	l.nextFlush = now.Add(constants.FlushEvery)
 	for r := range l.waiters {
 		l.answer(r, now)
 	}
@@ -502,7 +501,7 @@
 
 // startsPend tells whether a start waits only for its record: its `run` can go
 // into the present answer, and would wait for the worker's next report else.
-func (r *rig) startsPend() bool {
+func (r *machine) startsPend() bool {
 	for _, a := range r.m.Attempts {
 		if !a.Sent && !a.Halt && a.Shift == r.m.Shift {
 			return true
@@ -512,7 +511,7 @@
 }
 
 // answer answers a waiting report if it is time to.
-func (l *Leader) answer(r *rig, now time.Time) {
+func (l *Leader) answer(r *machine, now time.Time) {
 	w := r.waiter
 	if w == nil {
 		delete(l.waiters, r)
@@ -521,15 +520,15 @@
 	if w.shift != r.m.Shift || r.m.Deaf {
 		w.reply <- Reply{Status: 503}
 	} else {
-		if !r.m.HasOrders() && (now.Before(w.until) || now.Before(w.arrived.Add(tuning.PendingHold)) && r.startsPend()) {
+		if !r.m.HasOrders() && (now.Before(w.until) || now.Before(w.arrived.Add(constants.PendingHold)) && r.startsPend()) {
 			return
 		}
 		orders := r.m.Orders(true, now)
 		if orders == nil {
-			orders = []fleet.Order{}
+			orders = []workers.Order{}
 		}
 		l.counts.Orders += uint64(len(orders))
-		w.reply <- Reply{Status: 200, Answer: fleet.Answer{Warrant: l.grant.Term, Orders: orders}}
+		w.reply <- Reply{Status: 200, Answer: workers.Answer{Warrant: l.grant.Term, Orders: orders}}
 	}
 	r.waiter = nil
 	delete(l.waiters, r)
--- a/internal/leader/pace.go
+++ b/internal/leader/pace.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // A machine may come to run its tasks much slower than others. Reports tell no
@@ -26,7 +26,7 @@
 
 // add takes in a finished task's run time.
 func (p *pace) add(ran time.Duration) {
-	if len(p.runs) >= tuning.PaceRuns {
+	if len(p.runs) >= constants.PaceRuns {
 		p.runs = p.runs[1:]
 	}
 	p.runs = append(p.runs, ran)
@@ -36,7 +36,7 @@
 // typical is the middle run time, once enough of the job's tasks are done: the
 // first finishers are its shortest tasks.
 func (p *pace) typical(pieces int) (time.Duration, bool) {
-	if len(p.runs) < tuning.PaceLeast || 2*len(p.runs) < min(pieces, tuning.PaceRuns) {
+	if len(p.runs) < constants.PaceLeast || 2*len(p.runs) < min(pieces, constants.PaceRuns) {
 		return 0, false
 	}
 	if p.middle == 0 {
@@ -55,20 +55,20 @@
 		return 0
 	}
 	switch r := float64(ran) / float64(typical); {
-	case r > tuning.SlowClear:
+	case r > constants.SlowClear:
 		return 2
-	case r > tuning.SlowLikely:
+	case r > constants.SlowLikely:
 		return 1
 	}
 	return 0
 }
 
 // slow tells whether the machine is kept from new tasks for slowness.
-func (r *rig) slow(now time.Time) bool { return now.Before(r.slowUntil) }
+func (r *machine) slow(now time.Time) bool { return now.Before(r.slowUntil) }
 
 // checkPace looks for slow machines and takes their tasks elsewhere.
 func (l *Leader) checkPace(now time.Time) {
-	for _, r := range l.sortedRigs() {
+	for _, r := range l.sortedMachines() {
 		// Of a machine that can't be heard nothing is known: its tasks may be
 		// over, and a cut must not make all machines behind it slow.
 		if r.slow(now) || r.leaving || l.silent(r, now) > l.quiet() {
@@ -76,7 +76,7 @@
 		}
 		marks := r.slowMarks[:0]
 		for _, at := range r.slowMarks {
-			if now.Sub(at) < tuning.SlowMemory {
+			if now.Sub(at) < constants.SlowMemory {
 				marks = append(marks, at)
 			}
 		}
@@ -84,39 +84,39 @@
 		sum := len(marks)
 		for _, a := range r.m.Attempts {
 			j := l.jobs[a.ID.Task.Job]
-			if j == nil || j.spec.Shape == intake.Gang || a.Status != fleet.Running || a.RanAt.IsZero() {
+			if j == nil || j.spec.Shape == userapi.Gang || a.Status != workers.Running || a.RanAt.IsZero() {
 				continue
 			}
 			sum += j.pace.suspicion(r.m.Heard.Sub(a.RanAt), j.spec.Pieces)
 		}
-		if sum < tuning.SlowProof {
+		if sum < constants.SlowProof {
 			continue
 		}
 		r.slowTimes++
-		pause := min(tuning.SlowPause<<min(r.slowTimes-1, 4), tuning.SlowPauseMax)
+		pause := min(constants.SlowPause<<min(r.slowTimes-1, 4), constants.SlowPauseMax)
 		r.slowUntil = now.Add(pause)
 		r.slowMarks = nil
 		l.d.Log.Info("machine is slow", "rig", r.m.Name, "zone", r.m.Zone, "spared_s", pause.Seconds())
 		for _, a := range r.m.Sorted() {
 			j := l.jobs[a.ID.Task.Job]
-			if j == nil || j.spec.Shape == intake.Gang || a.Halt || !a.Live() {
+			if j == nil || j.spec.Shape == userapi.Gang || a.Halt || !a.Live() {
 				continue
 			}
 			// A task that can't save would lose more than it wins.
-			if a.Status == fleet.Running && j.spec.SnapshotS <= 0 {
+			if a.Status == workers.Running && j.spec.SnapshotS <= 0 {
 				continue
 			}
-			l.halt(r, a, j.spec.StashS+tuning.StopGrace.Seconds(), now)
+			l.halt(r, a, j.spec.StashS+constants.StopGrace.Seconds(), now)
 		}
-		l.press(r, now)
+		l.sendStops(r, now)
 		l.dirty = true
 	}
 }
 
 // notePace takes in a finished task.
-func (l *Leader) notePace(r *rig, j *job, a *fleet.Attempt, now time.Time) {
+func (l *Leader) notePace(r *machine, j *job, a *workers.Attempt, now time.Time) {
 	// When a task ended on a machine that was not heard meanwhile is not known.
-	if r.blind || a.RanAt.IsZero() || j.spec.Shape == intake.Gang || j.inherited || j.again[a.ID.Task.Index] {
+	if r.blind || a.RanAt.IsZero() || j.spec.Shape == userapi.Gang || j.inherited || j.again[a.ID.Task.Index] {
 		return
 	}
 	ran := now.Sub(a.RanAt)
--- a/internal/leader/trade.go
+++ b/internal/leader/provisioning.go
@@ -7,14 +7,14 @@
 	"sort"
 	"time"
 
-	"thornnotch/internal/intake"
-	"thornnotch/internal/market"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/provisioning"
+	"thornnotch/internal/userapi"
 )
 
-// marketState is what the leader knows of renting.
-type marketState struct {
+// provisioningState is what the leader knows of renting.
+type provisioningState struct {
 	busy  bool
 	hires uint64
 	// listed is when the last page of the cloud's list came in; listFrom is where
@@ -25,13 +25,13 @@
 	pagedLast bool
 	// booting are machines rented that have not reported yet.
 	booting map[string]booting
-	refused map[market.Pool]time.Time
-	// darkUntil is until when a zone counts as cut off.
-	darkUntil map[string]time.Time
-	waiting   []*placement.Job
+	refused map[provisioning.Pool]time.Time
+	// unreachableUntil is until when a zone counts as cut off.
+	unreachableUntil map[string]time.Time
+	waiting          []*placement.Job
 	// returned are machines given back, which lists may still show.
 	returned map[string]time.Time
-	memory   *market.Memory
+	memory   *provisioning.Memory
 	recent   []arrival
 	// backoff is the pause after a call that the cloud did not carry out, zero
 	// while it answers; retryAt is when the next call may go out.
@@ -43,28 +43,28 @@
 // arrival is a job that came a short while ago.
 type arrival struct {
 	at     time.Time
-	demand market.Demand
+	demand provisioning.Demand
 	whole  bool // a gang that whole ordinary machines are kept for
 }
 
 type booting struct {
-	pool  market.Pool
+	pool  provisioning.Pool
 	since time.Time
 	noted time.Time // when this term learnt of it
 }
 
-func (m *marketState) init() {
+func (m *provisioningState) init() {
 	m.booting = make(map[string]booting)
-	m.refused = make(map[market.Pool]time.Time)
-	m.darkUntil = make(map[string]time.Time)
+	m.refused = make(map[provisioning.Pool]time.Time)
+	m.unreachableUntil = make(map[string]time.Time)
 	m.returned = make(map[string]time.Time)
-	m.memory = market.NewMemory(tuning.KeepWindow)
+	m.memory = provisioning.NewMemory(constants.KeepWindow)
 }
 
-func (m *marketState) unmet(jobs []*placement.Job, _ time.Time) { m.waiting = jobs }
+func (m *provisioningState) unmet(jobs []*placement.Job, _ time.Time) { m.waiting = jobs }
 
 // arrived is called when a machine reports for the first time in this term.
-func (l *Leader) arrived(r *rig, now time.Time) {
+func (l *Leader) arrived(r *machine, now time.Time) {
 	if b, ok := l.market.booting[r.m.Name]; ok {
 		l.d.Log.Info("machine up", "rig", r.m.Name, "zone", r.m.Zone, "spot", r.m.Spot, "after_s", math.Round(now.Sub(b.since).Seconds()))
 		delete(l.market.booting, r.m.Name)
@@ -72,10 +72,10 @@
 	r.idleSince = now
 }
 
-// trade runs the dealings with the cloud: one call at a time.
-func (l *Leader) trade(now time.Time) {
+// provision runs the dealings with the cloud: one call at a time.
+func (l *Leader) provision(now time.Time) {
 	m := &l.market
-	for _, r := range l.rigs {
+	for _, r := range l.machines {
 		if len(r.m.Attempts) > 0 {
 			r.idleSince = now
 		}
@@ -85,20 +85,20 @@
 			delete(m.returned, name)
 		}
 	}
-	for len(m.recent) > 0 && now.Sub(m.recent[0].at) > tuning.RecentWindow {
+	for len(m.recent) > 0 && now.Sub(m.recent[0].at) > constants.RecentWindow {
 		m.recent = m.recent[1:]
 	}
-	l.retireRigs(now)
+	l.retireMachines(now)
 	l.giveUpSurplus(now)
-	if l.unproven {
-		l.prove()
+	if l.termUnverified {
+		l.verifyTerm()
 		return
 	}
 	if m.busy || now.Before(m.retryAt) {
 		return
 	}
 	if names := l.returns(now); len(names) > 0 {
-		l.giveBack(names, now)
+		l.returnMachines(names, now)
 		return
 	}
 	// The list of a large fleet has many pages: renting goes on between two.
@@ -122,7 +122,7 @@
 
 // silent is how long nothing has been heard of the machine in this term, while
 // the leader itself could hear.
-func (l *Leader) silent(r *rig, now time.Time) time.Duration {
+func (l *Leader) silent(r *machine, now time.Time) time.Duration {
 	last := r.since
 	if r.m.Known {
 		last = r.m.Heard
@@ -133,14 +133,14 @@
 	return now.Sub(last)
 }
 
-// darkZones are the zones most of whose machines are silent, or were a short
+// unreachableZones are the zones most of whose machines are silent, or were a short
 // while ago. Machines
 // die one by one; a zone that goes dark is cut off, and comes back with all its
 // machines and their images. Giving them all up for others that must boot and
 // fetch anew, in a zone that can't be reached, is the worst answer to a cut.
-func (l *Leader) darkZones(now time.Time) map[string]bool {
+func (l *Leader) unreachableZones(now time.Time) map[string]bool {
 	all, silent := make(map[string]int), make(map[string]int)
-	for _, r := range l.rigs {
+	for _, r := range l.machines {
 		if r.leaving {
 			continue
 		}
@@ -151,29 +151,29 @@
 	}
 	dark := make(map[string]bool)
 	for z, n := range silent {
-		if n >= tuning.DarkLeast && 2*n > all[z] {
-			l.market.darkUntil[z] = now.Add(tuning.DarkAfter)
+		if n >= constants.UnreachableLeast && 2*n > all[z] {
+			l.market.unreachableUntil[z] = now.Add(constants.UnreachableAfter)
 		}
 	}
 	// When the cut heals, machines come back one after the other. Those that
 	// come last must not be given up because most are there already.
-	for z, until := range l.market.darkUntil {
+	for z, until := range l.market.unreachableUntil {
 		dark[z] = now.Before(until)
 	}
 	return dark
 }
 
-// retireRigs marks machines that must be returned as leaving.
-func (l *Leader) retireRigs(now time.Time) {
-	dark := l.darkZones(now)
-	for _, r := range l.rigs {
+// retireMachines marks machines that must be returned as leaving.
+func (l *Leader) retireMachines(now time.Time) {
+	dark := l.unreachableZones(now)
+	for _, r := range l.machines {
 		if r.leaving {
 			continue
 		}
 		why := ""
-		patience := tuning.SilentReturn
+		patience := constants.SilentReturn
 		if dark[r.m.Zone] {
-			patience = tuning.DarkReturn
+			patience = constants.UnreachableReturn
 		}
 		switch {
 		case l.silent(r, now) > l.lease+patience:
@@ -189,20 +189,20 @@
 
 // leave starts the return of a machine: first its record says so, then the
 // cloud is told.
-func (l *Leader) leave(r *rig, why string, now time.Time) {
+func (l *Leader) leave(r *machine, why string, now time.Time) {
 	l.d.Log.Info("machine to be returned", "rig", r.m.Name, "why", why)
 	r.leaving = true
 	r.leavingSafe = false
 	l.book.Drop(r.m.Name)
 	l.noteMeta(r, func() { r.leavingSafe = r.leaving })
-	l.touch(r)
+	l.markStale(r)
 	l.drain(r, now)
 	l.dirty = true
 }
 
 // returns names the machines to give back now.
 func (l *Leader) returns(now time.Time) (names []string) {
-	for _, r := range l.rigs {
+	for _, r := range l.machines {
 		if !r.leaving || !r.leavingSafe {
 			continue
 		}
@@ -217,16 +217,16 @@
 		typ, _ := l.d.Catalog().Type(b.pool.Type)
 		// A machine of an earlier term that has no record was idle: its worker
 		// needs a moment to turn to this node.
-		if limit := time.Duration(typ.ReadyS * tuning.BootPatience * float64(time.Second)); now.Sub(b.since) > limit && now.Sub(b.noted) > l.lease && now.Sub(l.wokeAt) > l.lease && l.rigs[name] == nil {
+		if limit := time.Duration(typ.ReadyS * constants.BootPatience * float64(time.Second)); now.Sub(b.since) > limit && now.Sub(b.noted) > l.lease && now.Sub(l.wokeAt) > l.lease && l.machines[name] == nil {
 			l.d.Log.Info("machine never came up", "rig", name)
 			names = append(names, name)
 		}
 	}
 	sort.Strings(names)
-	return names[:min(len(names), tuning.ReturnBatch)]
+	return names[:min(len(names), constants.ReturnBatch)]
 }
 
-func (l *Leader) busy(r *rig) bool {
+func (l *Leader) busy(r *machine) bool {
 	for _, a := range r.m.Attempts {
 		if a.Live() {
 			return true
@@ -235,7 +235,7 @@
 	return false
 }
 
-func (l *Leader) giveBack(names []string, now time.Time) {
+func (l *Leader) returnMachines(names []string, now time.Time) {
 	m := &l.market
 	m.busy = true
 	l.tasks.Go(func() error {
@@ -249,7 +249,7 @@
 			for _, name := range names {
 				delete(m.booting, name)
 				m.returned[name] = now
-				r := l.rigs[name]
+				r := l.machines[name]
 				if r == nil {
 					continue
 				}
@@ -304,25 +304,25 @@
 	if m.backoff == 0 {
 		l.d.Log.Info("the cloud does not answer", "call", call, "err", err)
 	}
-	m.backoff = min(max(2*m.backoff, tuning.CloudBackoffMin), tuning.CloudBackoffMax)
+	m.backoff = min(max(2*m.backoff, constants.CloudBackoffMin), constants.CloudBackoffMax)
 	m.retryAt = now.Add(jitter(m.backoff))
 	return true
 }
 
 // listed takes in the cloud's list. It lags and may go backwards: what is
 // absent from it proves nothing.
-func (l *Leader) listed(hosts []market.Host, now time.Time) {
+func (l *Leader) listed(hosts []provisioning.Host, now time.Time) {
 	m := &l.market
 	for _, h := range hosts {
 		if _, gone := m.returned[h.NameID]; gone {
 			continue
 		}
-		r := l.rigs[h.NameID]
+		r := l.machines[h.NameID]
 		switch {
 		case h.Status == "failed":
 			if r == nil {
-				r = l.rig(h.NameID, now)
-				r.m.Type, r.m.Zone, r.m.Spot = h.RigType, h.Hall, h.Loaners
+				r = l.machine(h.NameID, now)
+				r.m.Type, r.m.Zone, r.m.Spot = h.MachineType, h.Hall, h.Loaners
 			}
 			delete(m.booting, h.NameID)
 			if !r.leaving {
@@ -335,13 +335,13 @@
 		default:
 			if _, known := m.booting[h.NameID]; !known {
 				since := now.Add(-time.Duration(h.HeldS * float64(time.Second)))
-				m.booting[h.NameID] = booting{market.Pool{Type: h.RigType, Zone: h.Hall, Spot: h.Loaners}, since, now}
+				m.booting[h.NameID] = booting{provisioning.Pool{Type: h.MachineType, Zone: h.Hall, Spot: h.Loaners}, since, now}
 			}
 		}
 	}
 }
 
-func (l *Leader) rent(req market.Request, pool market.Pool, now time.Time) {
+func (l *Leader) rent(req provisioning.Request, pool provisioning.Pool, now time.Time) {
 	m := &l.market
 	m.busy, m.pagedLast = true, false
 	m.hires++
@@ -352,19 +352,19 @@
 			now := time.Now()
 			m.busy = false
 			switch {
-			case errors.Is(err, market.ErrNoCapacity):
+			case errors.Is(err, provisioning.ErrNoCapacity):
 				l.cloudFailed("rent", nil, now)
-				m.refused[pool] = now.Add(tuning.RefusedPause)
+				m.refused[pool] = now.Add(constants.RefusedPause)
 			case l.cloudFailed("rent", err, now):
 			default:
 				l.d.Log.Info("rented", "type", pool.Type, "zone", pool.Zone, "spot", pool.Spot, "asked", req.Count, "got", len(names))
 				for _, name := range names {
-					if l.rigs[name] == nil {
+					if l.machines[name] == nil {
 						m.booting[name] = booting{pool, now, now}
 					}
 				}
 				if len(names) < req.Count {
-					m.refused[pool] = now.Add(tuning.RefusedPause)
+					m.refused[pool] = now.Add(constants.RefusedPause)
 				}
 			}
 		})
@@ -373,29 +373,29 @@
 }
 
 // wanted names the next machines to rent, if any.
-func (l *Leader) wanted(now time.Time) (market.Request, market.Pool, bool) {
+func (l *Leader) wanted(now time.Time) (provisioning.Request, provisioning.Pool, bool) {
 	if l.d.Catalog() == nil || !l.loaded {
-		return market.Request{}, market.Pool{}, false
+		return provisioning.Request{}, provisioning.Pool{}, false
 	}
-	req, ok := market.Next(l.marketView(now), l.d.Operator.Renting.Spare)
-	return req, market.Pool{Type: req.RigType, Zone: req.Hall, Spot: req.Loaners}, ok
+	req, ok := provisioning.Next(l.provisioningView(now), l.d.Operator.Renting.Spare)
+	return req, provisioning.Pool{Type: req.MachineType, Zone: req.Hall, Spot: req.Loaners}, ok
 }
 
-// marketView shows the present state to renting.
-func (l *Leader) marketView(now time.Time) market.View {
-	v := market.View{Catalog: l.d.Catalog(), Have: make(map[market.Pool]int), Refused: make(map[market.Pool]bool)}
-	for _, r := range l.rigs {
+// provisioningView shows the present state to renting.
+func (l *Leader) provisioningView(now time.Time) provisioning.View {
+	v := provisioning.View{Catalog: l.d.Catalog(), Have: make(map[provisioning.Pool]int), Refused: make(map[provisioning.Pool]bool)}
+	for _, r := range l.machines {
 		// A silent machine is not counted on: it is replaced before it is
 		// given up.
 		if !r.leaving && !r.bad && r.m.Recall.IsZero() && l.silent(r, now) <= l.lease {
 			v.Have[r.pool()]++
 		}
 	}
-	for z, is := range l.darkZones(now) {
-		for _, t := range v.Catalog.RigTypes {
+	for z, is := range l.unreachableZones(now) {
+		for _, t := range v.Catalog.MachineTypes {
 			if is {
-				v.Refused[market.Pool{Type: t.SKU, Zone: z}] = true
-				v.Refused[market.Pool{Type: t.SKU, Zone: z, Spot: true}] = true
+				v.Refused[provisioning.Pool{Type: t.SKU, Zone: z}] = true
+				v.Refused[provisioning.Pool{Type: t.SKU, Zone: z, Spot: true}] = true
 			}
 		}
 	}
@@ -414,21 +414,21 @@
 		}
 		v.Demand = append(v.Demand, demandOf(j, left))
 	}
-	v.Window = tuning.RecentWindow
+	v.Window = constants.RecentWindow
 	for _, n := range l.market.recent {
 		v.Recent = append(v.Recent, n.demand)
 	}
 	for _, t := range l.teams {
-		v.Limits = append(v.Limits, market.Limit{Owner: t.Name, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}})
+		v.Limits = append(v.Limits, provisioning.Limit{Owner: t.Name, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}})
 	}
 	return v
 }
 
 // demandOf is what so many tasks of a job ask of the market.
-func demandOf(j *job, pieces int) market.Demand {
-	return market.Demand{Owner: j.spec.Owner, Pieces: pieces, Need: placement.Need(j.spec),
-		Spot: j.spec.Loaners, Types: j.spec.RigTypes, Zone: j.spec.Hall,
-		Together: j.spec.Shape == intake.Gang && j.spec.SamePlace}
+func demandOf(j *job, pieces int) provisioning.Demand {
+	return provisioning.Demand{Owner: j.spec.Owner, Pieces: pieces, Need: placement.Need(j.spec),
+		Spot: j.spec.Loaners, Types: j.spec.MachineTypes, Zone: j.spec.Hall,
+		Together: j.spec.Shape == userapi.Gang && j.spec.SamePlace}
 }
 
 // giveUpSurplus returns machines that have been idle for a while and that the
@@ -441,19 +441,19 @@
 	m.weighed = now
 	l.checkPace(now)
 	l.judgeAll(now)
-	v := l.marketView(now)
-	want := make(map[string]market.Want)
-	for _, t := range v.Catalog.RigTypes {
-		want[t.SKU] = market.Wants(v, t, l.d.Operator.Renting.Keep)
+	v := l.provisioningView(now)
+	want := make(map[string]provisioning.Want)
+	for _, t := range v.Catalog.MachineTypes {
+		want[t.SKU] = provisioning.Wants(v, t, l.d.Operator.Renting.Keep)
 	}
 	keep := m.memory.Note(now, want)
-	var idle []market.Idle
-	for _, r := range l.rigs {
-		if r.open(now) && len(r.m.Attempts) == 0 && len(l.book.On(r.m.Name)) == 0 && now.Sub(r.idleSince) > tuning.IdleReturn {
-			idle = append(idle, market.Idle{Name: r.m.Name, Pool: r.pool(), Images: len(r.images)})
+	var idle []provisioning.Idle
+	for _, r := range l.machines {
+		if r.open(now) && len(r.m.Attempts) == 0 && len(l.book.On(r.m.Name)) == 0 && now.Sub(r.idleSince) > constants.IdleReturn {
+			idle = append(idle, provisioning.Idle{Name: r.m.Name, Pool: r.pool(), Images: len(r.images)})
 		}
 	}
-	for _, name := range market.Surplus(v, keep, idle) {
-		l.leave(l.rigs[name], "idle", now)
+	for _, name := range provisioning.Surplus(v, keep, idle) {
+		l.leave(l.machines[name], "idle", now)
 	}
 }
--- a/internal/leader/list_test.go
+++ b/internal/leader/provisioning_test.go
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"thornnotch/internal/market"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/provisioning"
 )
 
 // pagedCloud lists many machines and notes the calls in their order.
@@ -19,9 +19,9 @@
 	failing  bool
 }
 
-func (c *pagedCloud) Rent(context.Context, market.Request) ([]string, error) {
+func (c *pagedCloud) Rent(context.Context, provisioning.Request) ([]string, error) {
 	c.calls = append(c.calls, "rent")
-	return nil, market.ErrNoCapacity
+	return nil, provisioning.ErrNoCapacity
 }
 
 func (c *pagedCloud) Return(context.Context, []string) error {
@@ -29,15 +29,15 @@
 	return nil
 }
 
-func (c *pagedCloud) List(_ context.Context, from string) (hosts []market.Host, next string, err error) {
+func (c *pagedCloud) List(_ context.Context, from string) (hosts []provisioning.Host, next string, err error) {
 	if c.failing {
-		return nil, "", market.ErrRefused
+		return nil, "", provisioning.ErrRefused
 	}
 	c.calls = append(c.calls, "page")
 	for i := range c.machines {
 		name := fmt.Sprintf("m-%06d", i)
-		if name > from && len(hosts) < tuning.HostPage {
-			hosts = append(hosts, market.Host{NameID: name, RigType: "g4", Hall: "east", Status: "running"})
+		if name > from && len(hosts) < constants.HostPage {
+			hosts = append(hosts, provisioning.Host{NameID: name, MachineType: "g4", Hall: "east", Status: "running"})
 			next = name
 		}
 	}
@@ -62,7 +62,7 @@
 		}
 		for step := range 40 {
 			cloud.failing = step == 5
-			l.trade(time.Now())
+			l.provision(time.Now())
 			run(l)
 			time.Sleep(time.Second)
 			clear(l.market.refused)
@@ -80,7 +80,7 @@
 				t.Errorf("two pages in a row while machines are needed: %v", cloud.calls)
 			}
 		}
-		if want := cloud.machines / tuning.HostPage; pages != want {
+		if want := cloud.machines / constants.HostPage; pages != want {
 			t.Errorf("%d pages read, want %d: %v", pages, want, cloud.calls)
 		}
 		if !slices.Contains(cloud.calls, "rent") || l.market.listed.IsZero() {
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -9,20 +9,20 @@
 	"strings"
 	"time"
 
-	"thornnotch/internal/fleet"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/reserve"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/reservations"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/workers"
 )
 
 // Keys of the records of the earlier format: one for each machine, one for
 // each run of a job's tasks. They are read while there is no log, and removed
 // once the first checkpoint stands.
 const (
-	oldRigPrefix = "rig/"
-	oldDidPrefix = "did/"
+	oldMachinePrefix = "rig/"
+	oldDidPrefix     = "did/"
 )
 
 func roomOf(r wal.Room) placement.Room {
@@ -31,39 +31,39 @@
 
 func recordRoom(r placement.Room) wal.Room { return wal.Room{r.VCPUs, r.GPUs, r.RAM} }
 
-func holdOf(h wal.Hold, rig string) reserve.Hold {
+func holdOf(h wal.Hold, machine string) reservations.Hold {
 	p := placement.Pipeline{Owner: h.Owner, Workload: h.Workload}
 	if h.Edge {
 		p.Downstream = h.Down
 	}
-	return reserve.Hold{
-		Rig: rig, Pipeline: p,
+	return reservations.Hold{
+		Machine: machine, Pipeline: p,
 		Upstream: h.Up, Downstream: h.Down, Priority: h.Priority,
 		Room: roomOf(h.Room), Expires: time.UnixMilli(h.Expires),
 	}
 }
 
-func recordHold(h reserve.Hold) wal.Hold {
+func recordHold(h reservations.Hold) wal.Hold {
 	return wal.Hold{Owner: h.Pipeline.Owner, Workload: h.Pipeline.Workload, Up: h.Upstream, Down: h.Downstream, Edge: h.Pipeline.Downstream != "",
 		Priority: h.Priority, Room: recordRoom(h.Room), Expires: h.Expires.UnixMilli()}
 }
 
-func recordAttempt(a *fleet.Attempt) wal.Attempt {
+func recordAttempt(a *workers.Attempt) wal.Attempt {
 	return wal.Attempt{Piece: a.ID.Task.String(), Try: a.ID.Try, Shift: a.Shift}
 }
 
-func attemptOf(r wal.Attempt, now time.Time) (*fleet.Attempt, error) {
-	task, err := fleet.ParseTaskID(r.Piece)
+func attemptOf(r wal.Attempt, now time.Time) (*workers.Attempt, error) {
+	task, err := workers.ParseTaskID(r.Piece)
 	if err != nil {
 		return nil, err
 	}
-	return &fleet.Attempt{ID: fleet.AttemptID{Task: task, Try: r.Try}, Shift: r.Shift,
+	return &workers.Attempt{ID: workers.AttemptID{Task: task, Try: r.Try}, Shift: r.Shift,
 		Committed: true, Cleared: true, Inherited: true, Sent: true, PlannedAt: now}, nil
 }
 
 // meta is what is recorded of a machine beside its attempts.
-func (l *Leader) meta(r *rig) wal.Rig {
-	rec := wal.Rig{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Endpoint: r.m.Endpoint, Shift: r.m.Shift, Leaving: r.leaving}
+func (l *Leader) meta(r *machine) wal.Machine {
+	rec := wal.Machine{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Endpoint: r.m.Endpoint, Shift: r.m.Shift, Leaving: r.leaving}
 	for _, h := range l.book.On(r.m.Name) {
 		rec.Holds = append(rec.Holds, recordHold(h))
 	}
@@ -78,7 +78,7 @@
 }
 
 // record is all that is recorded of a machine.
-func (l *Leader) record(r *rig) wal.Rig {
+func (l *Leader) record(r *machine) wal.Machine {
 	rec := l.meta(r)
 	for _, a := range r.m.Sorted() {
 		if !a.Live() {
@@ -94,8 +94,8 @@
 }
 
 // restore takes in what was recorded of a machine.
-func (l *Leader) restore(name string, rec *wal.Rig, now time.Time) error {
-	r := l.rig(name, now)
+func (l *Leader) restore(name string, rec *wal.Machine, now time.Time) error {
+	r := l.machine(name, now)
 	r.metaNoted = true
 	r.leaving = rec.Leaving
 	r.leavingSafe = rec.Leaving
@@ -108,11 +108,11 @@
 		r.m.Attempts[a.ID] = a
 		id := a.ID.Task.Job
 		if l.jobs[id] == nil {
-			g := l.ghosts[id]
+			g := l.endedJobs[id]
 			if g == nil {
 				was := rec.Jobs[id]
-				g = &ghost{owner: was.Owner, need: roomOf(was.Room)}
-				l.ghosts[id] = g
+				g = &endedJob{owner: was.Owner, need: roomOf(was.Room)}
+				l.endedJobs[id] = g
 			}
 			g.seats++
 			r.m.Withdraw(a, 0, now)
@@ -153,14 +153,14 @@
 // restoreOld reads the records of the earlier format. A machine's record that
 // can't be read may hide a task that still runs, so it ends the takeover; one
 // of completed tasks can't do harm: its tasks run again.
-func (l *Leader) restoreOld(rigs, dids []ledger.Row, now time.Time) error {
+func (l *Leader) restoreOld(machines, dids []statestore.Row, now time.Time) error {
 	l.legacy = make(map[string]uint64)
-	for _, row := range rigs {
-		var rec wal.Rig
+	for _, row := range machines {
+		var rec wal.Machine
 		if err := json.Unmarshal(row.V, &rec); err != nil {
 			return fmt.Errorf("record %s: %w", row.K, err)
 		}
-		if err := l.restore(strings.TrimPrefix(row.K, oldRigPrefix), &rec, now); err != nil {
+		if err := l.restore(strings.TrimPrefix(row.K, oldMachinePrefix), &rec, now); err != nil {
 			return err
 		}
 		l.legacy[row.K] = row.Stamp
@@ -177,7 +177,7 @@
 	return nil
 }
 
-func oldDone(row ledger.Row) (job string, list []int, err error) {
+func oldDone(row statestore.Row) (job string, list []int, err error) {
 	job, number, ok := strings.Cut(strings.TrimPrefix(row.K, oldDidPrefix), "/")
 	chunk, err := strconv.Atoi(number)
 	if !ok || err != nil || chunk < 0 {
@@ -193,7 +193,7 @@
 	}
 	for k := range len(bits) * 8 {
 		if bitset(bits).has(k) {
-			list = append(list, chunk*tuning.DoneChunk+k)
+			list = append(list, chunk*constants.DoneChunk+k)
 		}
 	}
 	return job, list, nil
--- a/internal/leader/sched.go
+++ b/internal/leader/scheduling.go
@@ -7,17 +7,17 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // pass runs placement over the present state and books what it decides.
 func (l *Leader) pass(now time.Time) {
 	l.dirty = false
 	l.lastPass = now
-	if !l.loaded || l.d.Catalog() == nil || l.committer.backoff > 0 || l.unproven {
+	if !l.loaded || l.d.Catalog() == nil || l.committer.backoff > 0 || l.termUnverified {
 		// Without records no decision that needs one is made, and none on a
 		// world that may be half a minute old.
 		return
@@ -25,15 +25,15 @@
 	w, jobs := l.world(now)
 	plan := placement.Decide(w)
 	for _, s := range plan.Starts {
-		l.rigs[s.Rig.Name].stale = true
+		l.machines[s.Machine.Name].stale = true
 		jobs[s.Job.Spec.NameID].stale = true
 	}
 	for _, e := range plan.Evicts {
-		l.rigs[e.Rig.Name].stale = true
+		l.machines[e.Machine.Name].stale = true
 	}
 	for _, h := range plan.Released {
-		if r := l.rigs[h.Rig.Name]; r != nil && l.book.Use(h.Rig.Name, func(p placement.Pipeline) bool { return p == h.Held.Pipeline }) {
-			l.d.Log.Debug("hold given up", "rig", h.Rig.Name, "class", h.Held.Pipeline.Workload)
+		if r := l.machines[h.Machine.Name]; r != nil && l.book.Use(h.Machine.Name, func(p placement.Pipeline) bool { return p == h.Held.Pipeline }) {
+			l.d.Log.Debug("hold given up", "rig", h.Machine.Name, "class", h.Held.Pipeline.Workload)
 			l.hintsChanged(r, now)
 		}
 	}
@@ -56,7 +56,7 @@
 		if c.Job.Claims == nil {
 			c.Job.Claims = make(map[string]bool)
 		}
-		c.Job.Claims[c.Rig.Name] = true
+		c.Job.Claims[c.Machine.Name] = true
 	}
 	l.market.unmet(plan.Unmet, now)
 	l.summary(w, now)
@@ -67,14 +67,14 @@
 
 // summary logs once in a while what the machines do and what waits.
 func (l *Leader) summary(w *placement.World, now time.Time) {
-	if now.Sub(l.lastSummary) < tuning.SummaryEvery || !l.d.Log.Enabled(l.ctx, slog.LevelDebug) {
+	if now.Sub(l.lastSummary) < constants.SummaryEvery || !l.d.Log.Enabled(l.ctx, slog.LevelDebug) {
 		return
 	}
 	l.lastSummary = now
 	// Whole machines, by the resource that each task takes most of.
 	var total, used, ending, held float64
 	empty := 0
-	for _, r := range w.Rigs {
+	for _, r := range w.Machines {
 		if !r.Open {
 			continue
 		}
@@ -107,7 +107,7 @@
 		limits[name] = hundredth(t.Used.Share(t.Max))
 	}
 	l.d.Log.Debug("summary", "machines", total, "used", hundredth(used), "ending", hundredth(ending), "held", hundredth(held), "empty", empty,
-		"waiting", fmt.Sprint(waits), "lifted", lifted, "limits", fmt.Sprint(limits), "booting", len(l.market.booting), "rigs", len(l.rigs))
+		"waiting", fmt.Sprint(waits), "lifted", lifted, "limits", fmt.Sprint(limits), "booting", len(l.market.booting), "rigs", len(l.machines))
 }
 
 // hundredth rounds for the log.
@@ -120,10 +120,10 @@
 	cat := l.d.Catalog()
 	sum := 0.0
 	for _, n := range l.market.recent {
-		if !n.whole || now.Sub(n.at) > tuning.RecentWindow {
+		if !n.whole || now.Sub(n.at) > constants.RecentWindow {
 			continue
 		}
-		for _, t := range cat.RigTypes {
+		for _, t := range cat.MachineTypes {
 			per := (placement.Room{VCPUs: t.VCPUs, GPUs: t.Accelerators, RAM: t.RAMGB}).Count(n.demand.Need, n.demand.Pieces)
 			if per > 0 {
 				sum += float64(n.demand.Pieces) / float64(per)
@@ -131,16 +131,16 @@
 			}
 		}
 	}
-	return int(math.Ceil(sum * tuning.SpareHorizon.Seconds() / tuning.RecentWindow.Seconds()))
+	return int(math.Ceil(sum * constants.SpareHorizon.Seconds() / constants.RecentWindow.Seconds()))
 }
 
 // wantsWhole tells whether whole machines are kept for jobs like this one.
-func (l *Leader) wantsWhole(spec *intake.Job) bool {
-	if spec.Shape != intake.Gang || spec.Loaners || intake.Priority(spec.Urgency) > intake.Priority("standard") {
+func (l *Leader) wantsWhole(spec *userapi.Job) bool {
+	if spec.Shape != userapi.Gang || spec.Loaners || userapi.Priority(spec.Urgency) > userapi.Priority("standard") {
 		return false
 	}
 	for _, o := range l.d.Settings.Params.Objectives {
-		if o.Kind == config.AimWait && o.Class == spec.Workload && config.Seconds(o.WithinS) <= tuning.SpareAim {
+		if o.Kind == config.AimWait && o.Class == spec.Workload && config.Seconds(o.WithinS) <= constants.SpareAim {
 			return true
 		}
 	}
@@ -154,7 +154,7 @@
 }
 
 // count replaces what a machine adds to the teams' use.
-func (l *Leader) count(r *rig, uses []ownerUse) {
+func (l *Leader) count(r *machine, uses []ownerUse) {
 	for _, u := range r.counted {
 		l.use[u.owner] = l.use[u.owner].Sub(u.room)
 	}
@@ -176,26 +176,26 @@
 		l.show(j, now)
 		all = append(all, &j.view)
 	}
-	rigs := l.sortedRigs()
-	w.Rigs = make([]*placement.Rig, 0, len(rigs))
+	machines := l.sortedMachines()
+	w.Machines = make([]*placement.Machine, 0, len(machines))
 	ordinary := 0
-	for _, r := range rigs {
-		if r.view == nil || r.stale || now.Sub(r.viewAt) > tuning.ViewAge {
-			l.showRig(r, now)
+	for _, r := range machines {
+		if r.view == nil || r.stale || now.Sub(r.viewAt) > constants.ViewAge {
+			l.showMachine(r, now)
 		}
 		// Placement may put work only on machines that have shown our token:
 		// a report may be a late copy of one from a machine that is no more.
 		// One that has not been heard for a few reports may well be dead or cut
 		// off: what is put there would wait until its lease is over.
 		r.view.Open = r.view.Total != (placement.Room{}) && r.open(now) && r.m.Warrant == l.grant.Term &&
-			l.silent(r, now) <= l.quiet()+tuning.IdleHold
+			l.silent(r, now) <= l.quiet()+constants.IdleHold
 		if r.view.Open && !r.view.Spot {
 			ordinary++
 		}
-		w.Rigs = append(w.Rigs, r.view)
+		w.Machines = append(w.Machines, r.view)
 	}
 	l.showEdges(w)
-	w.Spare = min(l.spare(now), int(float64(ordinary)*tuning.SpareMost))
+	w.Spare = min(l.spare(now), int(float64(ordinary)*constants.SpareMost))
 	for _, t := range l.teams {
 		w.Teams[t.Name] = &placement.Team{Name: t.Name, Used: l.use[t.Name],
 			Guarantee: placement.Room{VCPUs: t.CPUs, GPUs: t.GPUs}, Max: placement.Room{VCPUs: t.CPUsMax, GPUs: t.GPUsMax}}
@@ -210,13 +210,13 @@
 	return w, l.jobs
 }
 
-// showRig makes a machine's view anew.
-func (l *Leader) showRig(r *rig, now time.Time) {
+// showMachine makes a machine's view anew.
+func (l *Leader) showMachine(r *machine, now time.Time) {
 	r.stale, r.viewAt = false, now
 	var uses []ownerUse
 	typ, _ := l.d.Catalog().Type(r.m.Type)
 	pr := l.shape(r)
-	pr.Seats = int(l.d.Settings.Params.State.ValueKB*1024)/tuning.AttemptBytes - len(r.m.Attempts)
+	pr.Seats = int(l.d.Settings.Params.State.ValueKB*1024)/constants.AttemptBytes - len(r.m.Attempts)
 	pr.Total = placement.Room{VCPUs: typ.VCPUs, GPUs: typ.Accelerators, RAM: typ.RAMGB}
 	pr.Pull = typ.PullGBPerS
 	pr.Cached = make(map[string]time.Duration, len(r.images))
@@ -235,7 +235,7 @@
 		if j := l.jobs[a.ID.Task.Job]; j != nil {
 			s.Job = &j.view
 			s.Left, s.Loss = l.outlook(j, a, now)
-			if _, have := pr.Cached[j.spec.Bundle]; !have && (a.Status == "" || a.Status == fleet.Fetching) && typ.PullGBPerS > 0 {
+			if _, have := pr.Cached[j.spec.Bundle]; !have && (a.Status == "" || a.Status == workers.Fetching) && typ.PullGBPerS > 0 {
 				pr.Fetching++
 				full := j.spec.ImageGB / typ.PullGBPerS * float64(pr.Fetching)
 				pr.Cached[j.spec.Bundle] = max(time.Second, time.Duration(full*float64(time.Second))-now.Sub(a.PlannedAt))
@@ -265,7 +265,7 @@
 	v.Zones = make(map[string]int)
 	for _, seats := range j.seats {
 		for _, s := range seats {
-			v.Zones[s.rig.m.Zone]++
+			v.Zones[s.machine.m.Zone]++
 		}
 	}
 	v.Avoid = nil
@@ -279,7 +279,7 @@
 		}
 		v.Avoid[name] = true
 	}
-	if j.spec.Shape == intake.Gang {
+	if j.spec.Shape == userapi.Gang {
 		// A gang starts as a whole, and not before the last task of an
 		// earlier attempt is proven gone.
 		if len(j.seats) == 0 {
@@ -294,7 +294,7 @@
 		}
 		return
 	}
-	shown := tuning.WaitingShown
+	shown := constants.WaitingShown
 	if j.blame.mistaken() {
 		// One task tells whether it still fails, and takes no room of others.
 		shown = max(0, 1-len(j.seats))
@@ -321,12 +321,12 @@
 
 // outlook estimates how long an attempt goes on, and what stopping it throws
 // away, in seconds of the room that it takes.
-func (l *Leader) outlook(j *job, a *fleet.Attempt, now time.Time) (left, loss time.Duration) {
+func (l *Leader) outlook(j *job, a *workers.Attempt, now time.Time) (left, loss time.Duration) {
 	expect := time.Duration(j.spec.ExpectS * float64(time.Second))
-	again := tuning.RestartCost
-	if j.spec.Shape == intake.Gang {
+	again := constants.RestartCost
+	if j.spec.Shape == userapi.Gang {
 		// The whole gang goes, and finds whole machines again less easily.
-		again *= tuning.GangRestart * time.Duration(j.spec.Pieces)
+		again *= constants.GangRestart * time.Duration(j.spec.Pieces)
 	}
 	if a.RanAt.IsZero() {
 		return expect, again
@@ -334,19 +334,19 @@
 	ran := now.Sub(a.RanAt)
 	left = max(expect-ran, 5*time.Second)
 	if j.spec.SnapshotS > 0 {
-		loss = time.Duration(j.spec.StashS*float64(time.Second)) + tuning.StopGrace
+		loss = time.Duration(j.spec.StashS*float64(time.Second)) + constants.StopGrace
 	} else {
 		loss = ran
 	}
-	if ran < tuning.StartCounts {
-		loss += tuning.EarlyStop
+	if ran < constants.StartCounts {
+		loss += constants.EarlyStop
 	}
 	return left, loss + again
 }
 
 // evict stops a task to make room; a gang goes as a whole.
 func (l *Leader) evict(e placement.Evict, now time.Time) {
-	r := l.rigs[e.Rig.Name]
+	r := l.machines[e.Machine.Name]
 	if r == nil || e.Slot.Job == nil {
 		return
 	}
@@ -354,18 +354,18 @@
 	if j == nil {
 		return
 	}
-	l.d.Log.Debug("makes room", "piece", fleet.TaskID{Job: j.spec.NameID, Index: e.Slot.Index}, "rig", r.m.Name, "for", e.For.Spec.NameID)
-	grace := j.spec.StashS + tuning.StopGrace.Seconds()
-	if j.spec.Shape == intake.Gang {
+	l.d.Log.Debug("makes room", "piece", workers.TaskID{Job: j.spec.NameID, Index: e.Slot.Index}, "rig", r.m.Name, "for", e.For.Spec.NameID)
+	grace := j.spec.StashS + constants.StopGrace.Seconds()
+	if j.spec.Shape == userapi.Gang {
 		l.haltGang(j, grace, now)
 		return
 	}
 	for _, s := range j.seats[e.Slot.Index] {
-		if s.rig == r && s.a.ID.Try == e.Slot.Try {
+		if s.machine == r && s.a.ID.Try == e.Slot.Try {
 			l.halt(r, s.a, grace, now)
 		}
 	}
-	l.press(r, now)
+	l.sendStops(r, now)
 }
 
 // place turns the starts of a plan into attempts. Their `run` leaves only once
@@ -374,7 +374,7 @@
 	gangTry := make(map[string]uint64)
 	for _, s := range plan.Starts {
 		j := jobs[s.Job.Spec.NameID]
-		r := l.rigs[s.Rig.Name]
+		r := l.machines[s.Machine.Name]
 		if j == nil || r == nil {
 			continue
 		}
@@ -387,12 +387,12 @@
 				l.end(errAttemptsUsed)
 				return
 			}
-			if j.spec.Shape == intake.Gang {
+			if j.spec.Shape == userapi.Gang {
 				gangTry[j.spec.NameID] = try
 				j.gangTry = try
 			}
 		}
-		a := &fleet.Attempt{ID: fleet.AttemptID{Task: fleet.TaskID{Job: j.spec.NameID, Index: s.Index}, Try: try},
+		a := &workers.Attempt{ID: workers.AttemptID{Task: workers.TaskID{Job: j.spec.NameID, Index: s.Index}, Try: try},
 			Shift: r.m.Shift, PlannedAt: now}
 		r.m.Attempts[a.ID] = a
 		j.servedAt = now
@@ -403,8 +403,8 @@
 			l.d.Log.Debug("hold used", "rig", r.m.Name, "job", j.spec.NameID)
 			l.hintsChanged(r, now)
 		}
-		l.book.Override(r.m.Name, s.Rig.Total.Sub(l.used(r)))
-		r.touch(j.spec.Bundle, j.spec.ImageGB, false, l.cacheOf(r))
+		l.book.Override(r.m.Name, s.Machine.Total.Sub(l.used(r)))
+		r.useImage(j.spec.Bundle, j.spec.ImageGB, false, l.cacheOf(r))
 		l.d.Log.Debug("placed", "piece", a.ID.Task, "try", try, "rig", r.m.Name)
 	}
 }
@@ -413,10 +413,10 @@
 // for less.
 type rates map[string]float64
 
-func (r rates) add(class string) { r[class] += 1 / tuning.RateMemory.Seconds() }
+func (r rates) add(class string) { r[class] += 1 / constants.RateMemory.Seconds() }
 
 func (r rates) fade(d time.Duration) {
 	for class := range r {
-		r[class] *= 1 - d.Seconds()/tuning.RateMemory.Seconds()
+		r[class] *= 1 - d.Seconds()/constants.RateMemory.Seconds()
 	}
 }
--- a/internal/leader/stall_test.go
+++ b/internal/leader/stall_test.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/market"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/provisioning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // termStore answers for the term record alone, and gives the routine's calls a
@@ -23,19 +23,19 @@
 	err   error
 }
 
-func (s *termStore) Get(context.Context, ledger.Class, string) (ledger.Row, bool, error) {
-	return ledger.Row{Stamp: s.stamp}, s.err == nil, s.err
+func (s *termStore) Get(context.Context, statestore.Class, string) (statestore.Row, bool, error) {
+	return statestore.Row{Stamp: s.stamp}, s.err == nil, s.err
 }
 
 // cloudCalls counts calls to the cloud.
 type cloudCalls struct{ rents, returns, lists int }
 
-func (c *cloudCalls) Rent(context.Context, market.Request) ([]string, error) {
+func (c *cloudCalls) Rent(context.Context, provisioning.Request) ([]string, error) {
 	c.rents++
-	return nil, market.ErrNoCapacity
+	return nil, provisioning.ErrNoCapacity
 }
 func (c *cloudCalls) Return(context.Context, []string) error { c.returns++; return nil }
-func (c *cloudCalls) List(context.Context, string) ([]market.Host, string, error) {
+func (c *cloudCalls) List(context.Context, string) ([]provisioning.Host, string, error) {
 	c.lists++
 	return nil, "", nil
 }
@@ -68,25 +68,25 @@
 	t0 := time.Now()
 	l := testLeader(t)
 	offline(t, l)
-	store, cloud := &termStore{err: ledger.ErrUnavailable}, &cloudCalls{}
+	store, cloud := &termStore{err: statestore.ErrUnavailable}, &cloudCalls{}
 	l.d.Store, l.d.Cloud = store, cloud
 	for i := range 6 {
 		addRig(l, fmt.Sprint("m-", i), []string{"east", "west"}[i%2], t0)
 	}
-	l.market.booting["m-9"] = booting{market.Pool{Type: "g4", Zone: "east"}, t0, t0}
+	l.market.booting["m-9"] = booting{provisioning.Pool{Type: "g4", Zone: "east"}, t0, t0}
 	addJob(t, l, sweep("j-1", 40), t0)
 	// It stood still from a while ago until now.
-	still := l.lease + tuning.SilentReturn + time.Minute
-	l.goesOn()
-	l.beat = time.Now().Add(-still)
-	for _, r := range l.rigs {
+	still := l.lease + constants.SilentReturn + time.Minute
+	l.noteRound()
+	l.lastRound = time.Now().Add(-still)
+	for _, r := range l.machines {
 		r.m.Heard = r.m.Heard.Add(-still)
 	}
 	b := l.market.booting["m-9"]
 	b.since, b.noted = b.since.Add(-still), b.noted.Add(-still)
 	l.market.booting["m-9"] = b
-	now := l.goesOn()
-	if !l.unproven {
+	now := l.noteRound()
+	if !l.termUnverified {
 		t.Fatal("that it stood still was not seen")
 	}
 	l.tick(now)
@@ -99,25 +99,25 @@
 	if *cloud != (cloudCalls{}) {
 		t.Errorf("the cloud was called before the term was looked at: %+v", *cloud)
 	}
-	for name, r := range l.rigs {
+	for name, r := range l.machines {
 		if r.leaving {
 			t.Errorf("%s is given up for silence that was ours", name)
 		}
 	}
-	if v := l.marketView(now); v.Have[market.Pool{Type: "g4", Zone: "east"}] != 4 {
+	if v := l.provisioningView(now); v.Have[provisioning.Pool{Type: "g4", Zone: "east"}] != 4 {
 		t.Errorf("machines are to be replaced for silence that was ours: %v", v.Have)
 	}
 	store.err, store.stamp = nil, l.grant.Stamp
 	if deposed {
 		store.stamp++
 	}
-	l.trade(now)
+	l.provision(now)
 	run(l)
 	if (l.ended != nil) != deposed {
 		t.Fatalf("ended: %v", l.ended)
 	}
-	if l.unproven != deposed {
-		t.Fatalf("unproven: %v", l.unproven)
+	if l.termUnverified != deposed {
+		t.Fatalf("unproven: %v", l.termUnverified)
 	}
 	if names := l.returns(now); len(names) > 0 {
 		t.Errorf("%v returned as if they had had their time to come up", names)
@@ -125,7 +125,7 @@
 	if deposed {
 		return
 	}
-	l.trade(now)
+	l.provision(now)
 	run(l)
 	if cloud.lists+cloud.rents == 0 {
 		t.Errorf("it never deals with the cloud again")
@@ -148,17 +148,17 @@
 		r.m.Endpoint = "x"
 		l.command(r, nil, now)
 	}
-	if l.commanding != tuning.CommandsAtOnce/2 {
+	if l.commanding != constants.CommandsAtOnce/2 {
 		t.Errorf("%d orders under way that stop nothing", l.commanding)
 	}
 	addJob(t, l, sweep("j-1", 16), now)
 	l.pass(now)
 	settle(l, 100)
-	for _, r := range l.rigs {
+	for _, r := range l.machines {
 		r.m.Orders(true, now)
 	}
 	l.jobGone("j-1", now)
-	stops := l.commanding - tuning.CommandsAtOnce/2
+	stops := l.commanding - constants.CommandsAtOnce/2
 	if stops < 4 {
 		t.Errorf("%d stops found a place", stops)
 	}
@@ -189,7 +189,7 @@
 			l.pass(now)
 			settle(l, 100)
 		}
-		for _, r := range l.rigs {
+		for _, r := range l.machines {
 			r.m.Orders(true, now)
 		}
 		now = now.Add(l.quiet() + time.Second)
@@ -197,22 +197,22 @@
 			addRig(l, fmt.Sprintf("m-9%03d", i), "east", now).m.Endpoint = "x"
 		}
 		spec := sweep("j-2", gang)
-		spec.Shape, spec.Accelerators = intake.Gang, 4
+		spec.Shape, spec.Accelerators = userapi.Gang, 4
 		j := addJob(t, l, spec, now)
 		l.pass(now)
 		settle(l, 1000)
 		for _, s := range sortedSeats(j) {
-			s.rig.m.Orders(true, now)
+			s.machine.m.Orders(true, now)
 		}
 		if len(j.seats) != gang {
 			t.Fatalf("%d tasks of the gang placed", len(j.seats))
 		}
 		l.jobGone("j-1", now)
-		if l.commanding != tuning.CommandsSilent {
+		if l.commanding != constants.CommandsSilent {
 			t.Errorf("%d orders under way to machines that are cut off", l.commanding)
 		}
 		l.haltGang(j, 10, now)
-		if told := l.commanding - tuning.CommandsSilent; told != gang {
+		if told := l.commanding - constants.CommandsSilent; told != gang {
 			t.Errorf("%d of %d tasks of the gang are told at once", told, gang)
 		}
 		close(hang)
@@ -225,9 +225,9 @@
 
 type hanging chan struct{}
 
-func (h hanging) Command(context.Context, string, fleet.Answer) (*fleet.Report, error) {
+func (h hanging) Command(context.Context, string, workers.Answer) (*workers.Report, error) {
 	<-h
-	return nil, ledger.ErrUnknown
+	return nil, statestore.ErrUnknown
 }
 
 // TestSilentMachinesAreNotSlow guards against what the zone day at 2,100
@@ -244,28 +244,28 @@
 			j := addJob(t, l, sweep("j-1", 8), now)
 			l.pass(now)
 			settle(l, 100)
-			for _, r := range []*rig{a, b} {
+			for _, r := range []*machine{a, b} {
 				r.m.Orders(true, now)
-				l.observe(r, report(l, r, fleet.Running, ""), false, now)
+				l.observe(r, report(l, r, workers.Running, ""), false, now)
 			}
 			// One machine's tasks end after 10 s, the other's go on for 60.
 			for range 5 {
 				now = now.Add(2 * time.Second)
-				l.observe(a, report(l, a, fleet.Running, ""), false, now)
-				l.observe(b, report(l, b, fleet.Running, ""), false, now)
+				l.observe(a, report(l, a, workers.Running, ""), false, now)
+				l.observe(b, report(l, b, workers.Running, ""), false, now)
 			}
-			l.observe(a, report(l, a, fleet.Exited, fleet.CauseDone), false, now)
+			l.observe(a, report(l, a, workers.Exited, workers.CauseDone), false, now)
 			if _, ok := j.pace.typical(8); !ok {
 				t.Fatal("no run times to compare with")
 			}
 			for range 50 {
 				now = now.Add(time.Second)
 				if !cut {
-					l.observe(b, report(l, b, fleet.Running, ""), false, now)
+					l.observe(b, report(l, b, workers.Running, ""), false, now)
 				}
 				l.checkPace(now)
 			}
-			l.observe(b, report(l, b, fleet.Exited, fleet.CauseDone), false, now)
+			l.observe(b, report(l, b, workers.Exited, workers.CauseDone), false, now)
 			l.checkPace(now)
 			if slow := b.slow(now); slow == cut {
 				t.Errorf("slow: %v", slow)
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -7,11 +7,11 @@
 	"sort"
 	"time"
 
-	"thornnotch/internal/fleet"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/workers"
 )
 
 // Status is the state of a term as operators see it.
@@ -81,7 +81,7 @@
 
 // HoldView is one hold with the time until it lapses.
 type HoldView struct {
-	Rig      string  `json:"rig"`
+	Machine  string  `json:"rig"`
 	Team     string  `json:"team"`
 	Class    string  `json:"class"`
 	Job      string  `json:"job"`
@@ -117,7 +117,7 @@
 	}
 	pools := make(map[pool]*MachineCount)
 	use, held := make(map[string]placement.Room), make(map[string]placement.Room)
-	for _, r := range l.rigs {
+	for _, r := range l.machines {
 		k := pool{r.m.Type, r.m.Zone, r.m.Spot}
 		c := pools[k]
 		if c == nil {
@@ -160,7 +160,7 @@
 	})
 	for _, h := range l.book.All() {
 		held[h.Pipeline.Owner] = held[h.Pipeline.Owner].Add(h.Room)
-		st.Holds = append(st.Holds, HoldView{h.Rig, h.Pipeline.Owner, h.Pipeline.Workload, h.Downstream, h.Room.VCPUs, h.Room.GPUs, h.Expires.Sub(now).Seconds()})
+		st.Holds = append(st.Holds, HoldView{h.Machine, h.Pipeline.Owner, h.Pipeline.Workload, h.Downstream, h.Room.VCPUs, h.Room.GPUs, h.Expires.Sub(now).Seconds()})
 	}
 	queue := make(map[placement.Pipeline]*QueueCount)
 	for _, j := range l.jobs {
@@ -173,7 +173,7 @@
 		run := 0
 		for _, seats := range j.seats {
 			for _, s := range seats {
-				if s.a.Status != "" && s.a.Status != fleet.Fetching {
+				if s.a.Status != "" && s.a.Status != workers.Fetching {
 					run++
 				}
 			}
@@ -226,7 +226,7 @@
 
 // logLoad logs once in a while how much the routine had to do since last.
 func (l *Leader) logLoad(now time.Time) {
-	if now.Sub(l.lastLoad) < tuning.LoadEvery {
+	if now.Sub(l.lastLoad) < constants.LoadEvery {
 		return
 	}
 	s := now.Sub(l.lastLoad).Seconds()
@@ -236,7 +236,7 @@
 	per := func(a, b uint64) float64 { return math.Round(float64(a-b)/s*10) / 10 }
 	part := func(a, b float64) float64 { return math.Round((a-b)/s*1000) / 1000 }
 	if !l.lastLoad.IsZero() {
-		l.d.Log.Info("load", "jobs", len(l.jobs), "machines", len(l.rigs), "reports_s", per(c.Reports, was.Reports),
+		l.d.Log.Info("load", "jobs", len(l.jobs), "machines", len(l.machines), "reports_s", per(c.Reports, was.Reports),
 			"orders_s", per(c.Orders, was.Orders), "commands_s", per(c.Commands, was.Commands), "passes_s", per(c.Passes, was.Passes),
 			"pass_part", part(c.PassS, was.PassS), "commits_s", per(c.Commits, was.Commits), "commit_part", part(c.CommitS, was.CommitS),
 			"busy_part", part(c.BusyS, was.BusyS),
@@ -244,9 +244,9 @@
 			"checkpoint_kb_s", kilobytes(c.Log.PartBytes, was.Log.PartBytes), "queue", len(l.calls), "log", l.committer.log.Backlog())
 	}
 	if l.d.Drawn != nil {
-		drawn := make(map[ledger.Class]ledger.Drawn)
+		drawn := make(map[statestore.Class]statestore.Drawn)
 		var attrs []any
-		for _, class := range ledger.Classes {
+		for _, class := range statestore.Classes {
 			d := l.d.Drawn(class)
 			drawn[class] = d
 			was := l.drawn[class]
--- a/internal/leader/takeover.go
+++ b/internal/leader/takeover.go
@@ -7,10 +7,10 @@
 	"math"
 	"time"
 
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
 )
 
 // Takeover tells how far the takeover has come; empty once it is over.
@@ -21,31 +21,31 @@
 	return ""
 }
 
-func (l *Leader) says(format string, args ...any) {
+func (l *Leader) setProgress(format string, args ...any) {
 	s := fmt.Sprintf(format, args...)
 	l.takeover.Store(&s)
 }
 
-// hears follows which of the machines that the records name have reported. The
+// followTakeover follows which of the machines that the records name have reported. The
 // takeover is over once all have, or those that have not must have lost their
 // leases.
-func (l *Leader) hears(now time.Time) {
+func (l *Leader) followTakeover(now time.Time) {
 	if l.Takeover() == "" {
 		return
 	}
 	all, heard := 0, 0
-	for _, r := range l.rigs {
+	for _, r := range l.machines {
 		all++
 		if r.m.Known {
 			heard++
 		}
 	}
 	if took := now.Sub(l.began); heard == all || took > l.lease {
-		l.says("")
+		l.setProgress("")
 		l.d.Log.Info("takeover complete", "term", l.grant.Term, "machines", all, "heard", heard, "took_s", math.Round(took.Seconds()*10)/10)
 		return
 	}
-	l.says("%d of %d machines heard", heard, all)
+	l.setProgress("%d of %d machines heard", heard, all)
 }
 
 // load reads all records of the earlier terms. Reading starts after the term
@@ -53,20 +53,20 @@
 func (l *Leader) load(ctx context.Context) (epoch uint64, err error) {
 	start := time.Now()
 	l.began = start
-	l.says("reading the jobs")
-	open, epoch, err := l.read(ctx, intake.OpenPrefix)
+	l.setProgress("reading the jobs")
+	open, epoch, err := l.read(ctx, userapi.OpenPrefix)
 	if err != nil {
 		return 0, err
 	}
-	l.says("reading the log, %d jobs open", len(open))
+	l.setProgress("reading the log, %d jobs open", len(open))
 	st, stamp, err := l.readLog(ctx)
 	if err != nil {
 		return 0, err
 	}
-	var oldRigs, oldDids []ledger.Row
+	var oldMachines, oldDids []statestore.Row
 	if st.Head.Area == "" {
 		// No checkpoint yet: what there is may be of the earlier format.
-		if oldRigs, _, err = l.read(ctx, oldRigPrefix); err != nil {
+		if oldMachines, _, err = l.read(ctx, oldMachinePrefix); err != nil {
 			return 0, err
 		}
 		if oldDids, _, err = l.read(ctx, oldDidPrefix); err != nil {
@@ -80,10 +80,10 @@
 	for _, j := range l.jobs {
 		j.inherited = true
 	}
-	if err := l.restoreOld(oldRigs, oldDids, now); err != nil {
+	if err := l.restoreOld(oldMachines, oldDids, now); err != nil {
 		return 0, err
 	}
-	for name, rec := range st.Rigs {
+	for name, rec := range st.Machines {
 		if err := l.restore(name, rec, now); err != nil {
 			return 0, err
 		}
@@ -102,7 +102,7 @@
 	l.dirty = true
 	l.loaded = true
 	l.linkAll(now)
-	l.d.Log.Info("records loaded", "term", l.grant.Term, "jobs", len(l.jobs), "machines", len(l.rigs),
+	l.d.Log.Info("records loaded", "term", l.grant.Term, "jobs", len(l.jobs), "machines", len(l.machines),
 		"log", st.Head.Next-st.Head.From, "took_ms", time.Since(start).Milliseconds())
 	return epoch, nil
 }
@@ -151,7 +151,7 @@
 // fleet has grown so large that it is wanted.
 func (l *Leader) askRings(now time.Time) {
 	c := &l.committer
-	if l.d.ReadsLargeRing == nil || !l.d.Operator.Log.LargeRing || !c.log.WantsLarge() || now.Sub(c.ringsAsked) < tuning.LargeRingAsk {
+	if l.d.ReadsLargeRing == nil || !l.d.Operator.Log.LargeRing || !c.log.WantsLarge() || now.Sub(c.ringsAsked) < constants.LargeRingAsk {
 		return
 	}
 	c.ringsAsked = now
@@ -167,30 +167,30 @@
 }
 
 // readKey reads one record, trying again for as long as the term lasts.
-func (l *Leader) readKey(ctx context.Context, key string) (ledger.Row, bool, error) {
+func (l *Leader) readKey(ctx context.Context, key string) (statestore.Row, bool, error) {
 	for {
-		row, found, err := l.d.Store.Get(ctx, ledger.Lease, key)
+		row, found, err := l.d.Store.Get(ctx, statestore.Lease, key)
 		if err == nil || ctx.Err() != nil {
 			return row, found, err
 		}
 		l.d.Log.Info("record can't be read", "key", key, "err", err)
-		pause(ctx, tuning.BackoffMin)
+		pause(ctx, constants.BackoffMin)
 	}
 }
 
 // read lists one kind of record, trying again for as long as the term lasts:
 // giving the lead up over one failed answer would only start it all anew.
-func (l *Leader) read(ctx context.Context, prefix string) ([]ledger.Row, uint64, error) {
+func (l *Leader) read(ctx context.Context, prefix string) ([]statestore.Row, uint64, error) {
 	for {
 		asked := time.Now()
-		rows, epoch, err := l.d.Store.List(ctx, ledger.Lease, prefix)
-		if prefix == intake.OpenPrefix {
+		rows, epoch, err := l.d.Store.List(ctx, statestore.Lease, prefix)
+		if prefix == userapi.OpenPrefix {
 			l.watched, l.sure = asked, asked
 		}
 		if err == nil || ctx.Err() != nil {
 			return rows, epoch, err
 		}
 		l.d.Log.Info("records can't be read", "prefix", prefix, "err", err)
-		pause(ctx, tuning.BackoffMin)
+		pause(ctx, constants.BackoffMin)
 	}
 }
--- a/internal/leader/targets_test.go
+++ b/internal/leader/targets_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // TestSilentMachineGetsNoWork guards against Peakdale's days with a partition: work
@@ -15,7 +15,7 @@
 	now := time.Unix(1000, 0)
 	l := testLeader(t)
 	silent, heard := addRig(l, "m-1", "east", now), addRig(l, "m-2", "east", now)
-	now = now.Add(l.quiet() + tuning.IdleHold + time.Second)
+	now = now.Add(l.quiet() + constants.IdleHold + time.Second)
 	if now.Sub(silent.m.Heard) >= l.lease {
 		t.Fatal("the lease is over: nothing is tested")
 	}
