--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -192,6 +192,11 @@
 		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f MB\t%d\t%s\n", n.Label, n.Version, n.Leads, n.Leader, n.Term,
 			n.RequestTokens, n.WriteTokens, n.CloudTokens, sockets, n.MemoryMB, n.Threads, strings.Join(n.Scarce, ", "))
 	}
+	for _, n := range o.Nodes {
+		for _, problem := range n.TooSmall {
+			fmt.Fprintf(w, "\n%s: settings are too small: %s\n", n.Label, problem)
+		}
+	}
 	for _, n := range o.Nodes {
 		if n.Taking != "" {
 			fmt.Fprintf(w, "\n%s takes over: %s\n", n.Label, n.Taking)
--- a/cmd/thornnotch/main.go
+++ b/cmd/thornnotch/main.go
@@ -74,6 +74,7 @@
 
 type checkCmd struct {
 	files
+	Machines int `default:"0" placeholder:"N" help:"How many machines are to be expected; without it only what no site could do with is named."`
 }
 
 func (c *checkCmd) Run() error {
@@ -81,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	for _, w := range set.Warnings(constants.WorkersLeast) {
+	for _, w := range set.Warnings(max(c.Machines, constants.WorkersLeast)) {
 		fmt.Println("warning:", w)
 	}
 	fmt.Println("the settings are good")
--- a/internal/config/sizing.go
+++ b/internal/config/sizing.go
@@ -38,8 +38,15 @@
 	return bySockets, byMemory
 }
 
-// Warnings name the settings under which a node can't serve so many workers.
-// They are no reason not to start: it serves what it can.
+// listCalls is how many calls a second the cloud's list of so many machines takes.
+func (s *Settings) listCalls(machines int) float64 {
+	pages := math.Ceil(float64(machines) / constants.HostPage)
+	return pages / max(s.Params.Cloud.ListLagS, constants.ListEveryLeast.Seconds())
+}
+
+// Warnings name the settings under which a node can't serve so many workers, each with
+// what it is and what it would have to be. They are no reason not to start: the node
+// serves those it can.
 func (s *Settings) Warnings(workers int) (out []string) {
 	bySockets, byMemory := s.Fits()
 	need := float64(workers)
@@ -51,5 +58,9 @@
 		out = append(out, fmt.Sprintf("params.machine_limits.mem_mb: %g are enough for %.0f workers; %d are to be expected: they would take about %.0f",
 			s.Params.Limits.MemMB, byMemory, workers, constants.MemoryOwnMB+need*constants.MemoryPerWorkerMB))
 	}
+	if rps, list := s.Params.Cloud.RPS, s.listCalls(workers); rps > 0 && list > rps*constants.ListShareMost {
+		out = append(out, fmt.Sprintf("params.cloud.rps: %g leave too little for renting and returning; %d machines are to be expected: their list alone takes %.1f, so it should be %.1f",
+			rps, workers, list, list/constants.ListShareMost))
+	}
 	return out
 }
--- a/internal/config/sizing_test.go
+++ b/internal/config/sizing_test.go
@@ -48,6 +48,15 @@
 			t.Errorf("%q is not in:\n%s", part, w)
 		}
 	}
+	s.Params.Limits = Limits{}
+	s.Params.Cloud = Cloud{RPS: 2, ListLagS: 5}
+	if w := s.Warnings(2000); len(w) != 0 {
+		t.Errorf("four pages in 5 s at two calls a second: %v", w)
+	}
+	if w := strings.Join(s.Warnings(6000), "\n"); !strings.Contains(w, "params.cloud.rps: 2 ") || !strings.Contains(w, "should be 4.8") {
+		t.Errorf("twelve pages in 5 s at two calls a second: %q", w)
+	}
+	s.Params.Cloud = Cloud{}
 	s.Params.Limits = Limits{Sockets: 20, MemMB: 20}
 	if w := s.Warnings(constants.WorkersLeast); len(w) != 2 {
 		t.Errorf("too little for anybody: %v", w)
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -378,6 +378,10 @@
 	CloudBackoffMax = 4 * time.Second
 	// CatalogEvery refreshes prices.
 	CatalogEvery = 60 * time.Second
+	// ListEveryLeast is the least time between two readings of the cloud's list, and
+	// ListShareMost the part of its calls that these should take at the most.
+	ListEveryLeast = 3 * time.Second
+	ListShareMost  = 0.5
 	// HostPage is the number of machines in one page of the cloud's list (protocol:
 	// 500 at most).
 	HostPage = 500
@@ -515,6 +519,9 @@
 	// that has not been collected yet (178 MB at 2,100, measured).
 	MemoryOwnMB       = 24.0
 	MemoryPerWorkerMB = 0.08
+	// FleetGrowth is by how many times the fleet must have grown to be checked against
+	// the settings once more.
+	FleetGrowth = 1.1
 	// NeedsEvery is how often a node looks at what it takes of its machine.
 	NeedsEvery = 5 * time.Second
 	// MemoryScarce and TokensScarce are the parts of the memory taken, and of
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -91,8 +91,10 @@
 	// takeover is how far the takeover has come, for operators; empty once it
 	// is over. It is read by others.
 	takeover atomic.Pointer[string]
-	ended    error
-	loaded   bool
+	// fleet is how many machines are known; it is read by others.
+	fleet  atomic.Int64
+	ended  error
+	loaded bool
 	// watched is the latest moment up to which the state service has told of all
 	// cancellations; sure is the same, or later by what all nodes vouch for.
 	watched, sure time.Time
@@ -320,6 +322,9 @@
 	return at
 }
 
+// Fleet is how many machines are known.
+func (l *Leader) Fleet() int { return int(l.fleet.Load()) }
+
 // end stops the term.
 func (l *Leader) end(err error) {
 	if l.ended == nil {
@@ -387,6 +392,7 @@
 	}
 	l.rates.fade(constants.TickEvery)
 	l.followTakeover(now)
+	l.fleet.Store(int64(len(l.machines)))
 	shown := 0
 	for _, r := range l.sortedMachines() {
 		// That nobody was answered for a lease is our own doing after we stood
--- a/internal/leader/provisioning.go
+++ b/internal/leader/provisioning.go
@@ -117,7 +117,7 @@
 }
 
 func (l *Leader) listEvery() time.Duration {
-	return max(time.Duration(l.d.Settings.Params.Cloud.ListLagS*float64(time.Second)), 3*time.Second)
+	return max(time.Duration(l.d.Settings.Params.Cloud.ListLagS*float64(time.Second)), constants.ListEveryLeast)
 }
 
 // silent is how long nothing has been heard of the machine in this term, while
--- a/internal/node/needs.go
+++ b/internal/node/needs.go
@@ -14,13 +14,33 @@
 
 // What a node takes of its machine, and what is scarce, for operators.
 
-// warn logs which settings are too small for so many workers.
+// warn logs which settings are too small for so many workers, and has status tell it.
 func (n *Node) warn(workers int) {
-	for _, w := range n.set.Warnings(workers) {
-		n.log.Warn("settings are too small", "problem", w)
+	problems := n.set.Warnings(workers)
+	n.tooSmall.Store(&problems)
+	for _, problem := range problems {
+		n.log.Warn("settings are too small", "problem", problem)
 	}
 }
 
+// problems are the settings that are too small for the fleet.
+func (n *Node) problems() []string {
+	if problems := n.tooSmall.Load(); problems != nil {
+		return *problems
+	}
+	return nil
+}
+
+// expected is how many machines the settings must be enough for: those that the teams
+// are guaranteed, or those that there are if this node leads.
+func (n *Node) expected() int {
+	expected := max(constants.WorkersLeast, n.guaranteedMachines())
+	if l := n.leading.Load(); l != nil {
+		expected = max(expected, l.Fleet())
+	}
+	return expected
+}
+
 // guaranteedMachines is how many machines the teams' guarantees fill, on the
 // largest type: at least as many are to be expected.
 func (n *Node) guaranteedMachines() int {
@@ -75,25 +95,23 @@
 	return out
 }
 
-// watchNeeds logs when something becomes scarce and when that is over, and,
-// once the catalog is known, whether the settings are enough for the machines
-// that the teams are guaranteed.
+// watchNeeds logs when something becomes scarce and when that is over, and whether
+// the settings are enough for the machines that are to be expected, as their number
+// grows.
 func (n *Node) watchNeeds(ctx context.Context) error {
 	tick := time.NewTicker(constants.NeedsEvery)
 	defer tick.Stop()
 	var was []string
-	warned := false
+	checked := float64(constants.WorkersLeast)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
 		}
-		if least := n.guaranteedMachines(); !warned && least > 0 {
-			warned = true
-			if least > constants.WorkersLeast {
-				n.warn(least)
-			}
+		if expected := n.expected(); float64(expected) > checked*constants.FleetGrowth {
+			checked = float64(expected)
+			n.warn(expected)
 		}
 		memory := memoryMB()
 		is := n.scarce(memory)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,8 @@
 	sockets *sockets
 	limits  limits
 	version string
+	// tooSmall names the settings that are too small for the fleet.
+	tooSmall atomic.Pointer[[]string]
 }
 
 // New makes a node from its settings.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -35,6 +35,9 @@
 	MemoryMB float64 `json:"memoryMB"`
 	// Scarce names what there is too little of.
 	Scarce []string `json:"scarce,omitempty"`
+	// TooSmall names the settings that are too small for the fleet, with what they
+	// would have to be.
+	TooSmall []string `json:"settingsTooSmall,omitempty"`
 }
 
 // Overview is the whole site as one node can see it. Cluster is nil while no
@@ -68,6 +71,7 @@
 	s.RequestTokens, s.WriteTokens = n.store.Budget.Left()
 	s.Sockets, s.Threads, s.MemoryMB = n.sockets.use(), threads(), memoryMB()
 	s.Scarce = n.scarce(s.MemoryMB)
+	s.TooSmall = n.problems()
 	if l := n.leading.Load(); l != nil {
 		s.Taking = l.Takeover()
 	}
@@ -152,6 +156,7 @@
 	put(desc("sockets_limit", "As many as there may be; 0: any number."), float64(own.Sockets.Limit))
 	put(desc("threads", "Threads that the process has made."), float64(own.Threads))
 	put(desc("memory_bytes", "Memory that the process holds."), own.MemoryMB*(1<<20))
+	put(desc("settings_too_small", "Settings that are too small for the fleet."), float64(len(own.TooSmall)))
 	put(desc("cloud_tokens", "Calls to the cloud that may be made at once."), own.CloudTokens)
 	count := func(name, help string, v float64, labels ...string) {
 		var names []string
@@ -187,6 +192,9 @@
 	count("commits_total", "Transactions of the log in this term.", float64(w.Commits))
 	count("commit_seconds_total", "Time that these took, waiting for tokens included.", w.CommitS)
 	count("busy_seconds_total", "Time that the leader's routine was at work.", w.BusyS)
+	count("log_entry_bytes_total", "Entries that the log has taken in this term.", float64(w.Log.EntryBytes))
+	count("log_hint_bytes_total", "Of these, records of holds and images.", float64(w.HintBytes))
+	count("log_checkpoint_bytes_total", "Parts of checkpoints that the log has taken in this term.", float64(w.Log.PartBytes))
 	put(desc("log_backlog", "Log entries that a takeover would read."), float64(st.State.Backlog))
 	put(desc("unwritten_seconds", "Age of the transaction under way."), st.State.UnwrittenS)
 	put(desc("calls_waiting", "Calls that wait for the leader's routine."), float64(st.Waiting))
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -29,21 +29,21 @@
 
 // State is a state service.
 type State struct {
-	mu         sync.Mutex
-	epoch      uint64
-	items      map[string]item
-	log        []change
-	tenures    map[uint64]*tenure
-	next       uint64
-	down       bool
-	changed    chan struct{} // closed and renewed with every change
-	closed     bool
-	refused    map[string]bool
-	fate func(caller string, writes int) Fate
-	counts     StateCounts
-	limits     StateLimits
-	tokens     float64
-	filled     time.Time
+	mu      sync.Mutex
+	epoch   uint64
+	items   map[string]item
+	log     []change
+	tenures map[uint64]*tenure
+	next    uint64
+	down    bool
+	changed chan struct{} // closed and renewed with every change
+	closed  bool
+	refused map[string]bool
+	fate    func(caller string, writes int) Fate
+	counts  StateCounts
+	limits  StateLimits
+	tokens  float64
+	filled  time.Time
 }
 
 // Fate is what becomes of a transaction that would be answered in time.
--- a/internal/userapi/server_test.go
+++ b/internal/userapi/server_test.go
@@ -384,7 +384,7 @@
 type lossy struct {
 	*memory
 	fate func() string
-	late       []func()
+	late []func()
 }
 
 func (l *lossy) Multi(ctx context.Context, class statestore.Class, when []statestore.Cond, writes []statestore.Write) (uint64, error) {
