--- a/internal/node/waits_test.go
+++ b/internal/node/dependencies_test.go
@@ -223,6 +223,60 @@
 	})
 }
 
+// TestNamesACancelledJob: a job that names a cancelled one is accepted, and called
+// cancelled by every node from its first answer on; so is one that names that, also
+// where the list names jobs that are done or run. Nothing of them ever runs. What can't
+// be checked is told so, and not that it is unknown.
+func TestNamesACancelledJob(t *testing.T) {
+	meetOnce(t, small(), 15, nil, func(m *scene) {
+		done := m.run(testJob(0, "a", userapi.Sweep, 1))
+		runs := m.run(long("b", userapi.Sweep, 1, 200))
+		off := m.run(long("a", userapi.Sweep, 1, 200))
+		m.until(time.Minute, "one done", func() bool { return m.heard(done) == userapi.Done })
+		if st := m.crowd.cancel(off); st != userapi.Aborted {
+			m.t.Fatalf("the cancellation is answered %q", st)
+		}
+		names := func(n int, list ...string) *userapi.Job {
+			j := testJob(n, "b", userapi.Sweep, 2)
+			j.WaitsOn = list
+			m.know(j)
+			return j
+		}
+		before := off
+		for n := range 6 {
+			j := names(700+n, done, before, runs)
+			m.until(10*time.Second, j.NameID+" accepted", func() bool {
+				code, st := m.submitted(n%3, j)
+				if code == http.StatusCreated && st.Status != userapi.Aborted {
+					m.t.Errorf("%s is accepted as %s", j.NameID, st.Status)
+				}
+				return code == http.StatusCreated
+			})
+			for i := range 3 {
+				if code, st := m.submitted(i, j); code != http.StatusOK || st.Status != userapi.Aborted {
+					m.t.Errorf("its repeat at node %d got %d, %s", i, code, st.Status)
+				}
+				m.until(3*time.Second, "an answer", func() bool { c, st := m.poll(i, j.NameID); return c == http.StatusOK && st == userapi.Aborted })
+			}
+			before = j.NameID
+		}
+		m.until(m.judge.late, "final records", func() bool { return len(m.state.Keys(userapi.OpenPrefix)) == 1 })
+		m.judge.mu.Lock()
+		for id := range m.judge.owner {
+			if id >= "j-000700" && id < "j-000710" {
+				m.judge.fail("a task of %s ran", id)
+			}
+		}
+		m.judge.mu.Unlock()
+		m.state.SetDown(true)
+		if code, _ := m.submitted(1, names(720, "j-777777")); code != http.StatusServiceUnavailable {
+			m.t.Errorf("without the state service a name that can't be checked got %d", code)
+		}
+		m.state.SetDown(false)
+		m.crowd.cancel(runs)
+	})
+}
+
 // TestWaitsOnInput: what users may name, at any node and by lists of any length.
 func TestWaitsOnInput(t *testing.T) {
 	lay := small()
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -56,6 +57,7 @@
 		}
 	}, func(m *scene) {
 		var waits []string
+		cancelled := ""
 		for _, r := range rows {
 			id, ok := strings.CutPrefix(r.K, userapi.FinalPrefix)
 			if !ok {
@@ -70,6 +72,8 @@
 			}
 			if f.Status == userapi.Done {
 				waits = append(waits, id)
+			} else {
+				cancelled = id
 			}
 		}
 		for id := range open {
@@ -83,6 +87,15 @@
 		if !m.crowd.submit(after) {
 			t.Fatal("not accepted")
 		}
+		if cancelled == "" {
+			t.Error("nothing was cancelled in production")
+		}
+		off := testJob(901, "a", userapi.Sweep, 2)
+		off.WaitsOn = []string{cancelled}
+		m.until(10*time.Second, "what names a cancelled job", func() bool {
+			code, st := m.submitted(0, off)
+			return code == http.StatusCreated && st.Status == userapi.Aborted
+		})
 		for id := range open {
 			m.until(3*time.Minute, id+" done", func() bool { return m.status(0, id) == userapi.Done })
 		}
