--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -135,6 +135,9 @@
 	// ViewAge is how old a machine's view for placement may be: estimates of
 	// the time left change with time alone.
 	ViewAge = 2 * time.Second
+	// ViewAgeFleet is the fleet up to which that holds (machines); beyond it grows with
+	// the fleet, so that as many are made anew a second.
+	ViewAgeFleet = 2000
 	// ShowsAtOnce is how many workers are shown a new token in one tick.
 	ShowsAtOnce = 24
 	// TickEvery drives time-outs, lapses and renting.
--- a/internal/leader/scheduling.go
+++ b/internal/leader/scheduling.go
@@ -179,8 +179,9 @@
 	machines := l.sortedMachines()
 	w.Machines = make([]*placement.Machine, 0, len(machines))
 	ordinary := 0
+	oldest := now.Add(-viewAge(len(machines)))
 	for _, r := range machines {
-		if r.view == nil || r.stale || now.Sub(r.viewAt) > constants.ViewAge {
+		if r.view == nil || r.stale || r.viewAt.Before(oldest) {
 			l.showMachine(r, now)
 		}
 		// Placement may put work only on machines that have shown our token:
@@ -210,9 +211,16 @@
 	return w, l.jobs
 }
 
+// viewAge is how old the view of a machine that has not changed may be: making all of a
+// large fleet's anew every time would take longer than the pass itself.
+func viewAge(machines int) time.Duration {
+	return time.Duration(float64(constants.ViewAge) * max(1, float64(machines)/constants.ViewAgeFleet))
+}
+
 // showMachine makes a machine's view anew.
 func (l *Leader) showMachine(r *machine, now time.Time) {
 	r.stale, r.viewAt = false, now
+	l.counts.Views++
 	var uses []ownerUse
 	typ, _ := l.d.Catalog().Type(r.m.Type)
 	pr := l.shape(r)
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -209,6 +209,7 @@
 type counts struct {
 	Passes   uint64  `json:"passes"`
 	PassS    float64 `json:"passS"` // time spent in them
+	Views    uint64  `json:"views"` // of machines, made anew for them
 	Reports  uint64  `json:"reports"`
 	Copies   uint64  `json:"lateCopies"` // late copies of reports
 	Orders   uint64  `json:"orders"`     // sent in answers
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -41,7 +41,7 @@
 	byZone := make(map[string][]seat)
 	var zones []string
 	var all []seat
-	for _, r := range p.roomy {
+	for _, r := range p.roomyFor(j) {
 		if !p.usable(j, r) {
 			continue
 		}
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -61,6 +61,7 @@
 		}
 		return 0
 	})
+	p.classify()
 	p.releaseUseless()
 	p.keepClaims()
 	p.keepPromises()
@@ -139,8 +140,11 @@
 	// ending is what this pass has told each team's tasks to give up.
 	ending map[string]Room
 	// roomy are the machines that can take any task at all: when most are
-	// full, no job need look at all of them.
-	roomy []*Machine
+	// full, no job need look at all of them. classes are these by size of task, and
+	// largest is the most that any machine has of each kind.
+	roomy   []*Machine
+	classes map[sizeClass]*roomyClass
+	largest Room
 	// able are the tasks that run, by standing.
 	able map[standing]int
 	// holds are the holds, by team.
--- /dev/null
+++ b/internal/placement/roomy_test.go
@@ -0,0 +1,44 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestLargeTasksLookAtFewMachines: small tasks keep nearly every machine of a full fleet
+// among those with room for some task. Gangs of whole machines look at those that have
+// room for them alone, however many the others are: on a trial day at 6,000 machines 60
+// gangs looked at all of them in every pass, which took most of its time.
+func TestLargeTasksLookAtFewMachines(t *testing.T) {
+	const gangs, empty = 50, 8
+	looked := make(map[int]int)
+	for _, machines := range []int{500, 6000} {
+		w := &World{Teams: map[string]*Team{"a": {Max: Room{GPUs: 1e6}}}}
+		busy := sweepJob("j-0", "a", 1)
+		for i := range machines {
+			r := oneRig()
+			r.Name = fmt.Sprintf("m-%06d", i)
+			if i >= empty {
+				r.Slots = []Slot{{Job: busy, Room: Room{VCPUs: r.Total.VCPUs / 2, GPUs: r.Total.GPUs, RAM: 1}}}
+			}
+			w.Machines = append(w.Machines, r)
+		}
+		for i := range gangs {
+			j := sweepJob(fmt.Sprintf("j-1%03d", i), "a", 1)
+			j.Spec.Shape, j.Spec.Pieces, j.Spec.Accelerators, j.Order = "gang", 20, w.Machines[0].Total.GPUs, uint64(i)
+			j.Waiting = make([]int, 20)
+			w.Jobs = append(w.Jobs, j)
+		}
+		small := sweepJob("j-2000", "a", 1)
+		small.Spec.VCPUs, small.Spec.Accelerators, small.Order = 1, 0, 1000
+		w.Jobs = append(w.Jobs, small)
+		plan := Decide(w)
+		if len(plan.Starts) != 1 {
+			t.Errorf("%d machines: %d starts", machines, len(plan.Starts))
+		}
+		looked[machines] = plan.Looked - machines // the small one looks at all
+	}
+	if looked[500] != looked[6000] || looked[6000] != gangs*empty {
+		t.Errorf("%d gangs looked at %d machines of 500 and %d of 6,000, want %d", gangs, looked[500], looked[6000], gangs*empty)
+	}
+}
--- a/internal/placement/sweep.go
+++ b/internal/placement/sweep.go
@@ -33,13 +33,14 @@
 	return x
 }
 
-// takes tells whether one more task of a sweep may go to the machine.
+// takes tells whether one more task of a sweep may go to the machine, as far as its
+// team's limit lets it start at all.
 func (p *pass) takes(j *Job, r *Machine, need Room) bool {
 	if j.Spec.Loaners && !r.Spot && r.used == (Room{}) && p.whole <= p.Spare {
 		// Whole ordinary machines are kept for gangs that can use no others.
 		return false
 	}
-	return p.usable(j, r) && zoneAllows(j, r.Zone) && r.free(j).Fits(need) && p.allows(j, need)
+	return p.usable(j, r) && zoneAllows(j, r.Zone) && r.free(j).Fits(need)
 }
 
 // sweep places a job's waiting tasks from one on, on machines that have its
@@ -50,7 +51,7 @@
 		return from
 	}
 	c := p.cands[:0]
-	for _, r := range p.roomy {
+	for _, r := range p.roomyFor(j) {
 		if p.takes(j, r, need) && r.delay(j) <= patience {
 			c = append(c, candidate{r, p.score(r, j)})
 		}
@@ -58,6 +59,9 @@
 	heap.Init(&c)
 	defer func() { p.cands = c[:0] }()
 	for i := from; i < len(j.Waiting); i++ {
+		if !p.allows(j, need) {
+			return i
+		}
 		// A put changes the score of its own machine, and makes whole ones
 		// dearer: what comes to the top is looked at again.
 		for len(c) > 0 {
--- a/internal/placement/world.go
+++ b/internal/placement/world.go
@@ -323,6 +323,8 @@
 	Released []Release
 	// Unmet are the jobs, in order, that could not start all their tasks.
 	Unmet []*Job
+	// Looked is how many machines were looked at as places for tasks.
+	Looked int
 }
 
 // Before orders jobs: what is overdue, then priority, then guarantee, then the time left to meet an
