--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -43,6 +43,9 @@
 type HoldSettings struct {
 	// Enabled turns holds off for comparison.
 	Enabled bool `yaml:"enabled"`
+	// SubmissionOrder makes holds also where no edges are named: for the next job of the
+	// same owner and workload in the order of submission.
+	SubmissionOrder bool `yaml:"submission_order"`
 	// Alpha is the Pareto shape of task run times, above 1.
 	Alpha float64 `yaml:"alpha"`
 	// P is the wished chance that a stage ends before its holds lapse.
@@ -64,7 +67,7 @@
 // DefaultOperator is what holds without a file.
 func DefaultOperator() Operator {
 	return Operator{
-		Holds:   HoldSettings{Enabled: true, Alpha: constants.HoldAlpha, P: constants.HoldP, Threshold: constants.HoldThreshold},
+		Holds:   HoldSettings{Enabled: true, SubmissionOrder: true, Alpha: constants.HoldAlpha, P: constants.HoldP, Threshold: constants.HoldThreshold},
 		Budgets: BudgetSettings{LeaderShare: constants.LeaderShare, LeaderWriteShare: constants.LeaderWriteShare, Use: constants.BudgetUse},
 		Renting: RentSettings{Spare: constants.RentSpare, Keep: constants.KeepSpare},
 		Log:     LogSettings{LargeRing: true},
--- a/internal/leader/edges_test.go
+++ b/internal/leader/edges_test.go
@@ -215,3 +215,32 @@
 		t.Errorf("held for %v after the last of a chain", next)
 	}
 }
+
+// TestHoldsInSubmissionOrderAreAChoice: without them what a finisher leaves where no
+// edges are named is held for nobody, and what users name with waitsOn is held as before.
+func TestHoldsInSubmissionOrderAreAChoice(t *testing.T) {
+	for _, inOrder := range []bool{true, false} {
+		now := time.Now()
+		l := testLeader(t)
+		l.d.Operator.Holds.SubmissionOrder = inOrder
+		l.teams[0].GPUsMax = 4 // the next one has to wait
+		r := addRig(l, "m-1", "east", now)
+		addJob(t, l, sweep("j-1", 4), now)
+		l.pass(now)
+		settle(l, 100)
+		r.m.Orders(true, now)
+		l.observe(r, report(l, r, workers.Running, ""), false, now)
+		addJob(t, l, sweep("j-2", 4), now)
+		endAll(l, r, now.Add(10*time.Second))
+		if got, want := len(l.book.All()), map[bool]int{true: 4}[inOrder]; got != want {
+			t.Errorf("in submission order %v: %d holds, want %d", inOrder, got, want)
+		}
+		now = time.Now()
+		edged, r, _, _ := edgeScene(t, 4, now)
+		edged.d.Operator.Holds.SubmissionOrder = inOrder
+		endAll(edged, r, now.Add(10*time.Second))
+		if got := len(edged.book.All()); got != 4 {
+			t.Errorf("in submission order %v: %d holds along edges", inOrder, got)
+		}
+	}
+}
--- a/internal/leader/job.go
+++ b/internal/leader/job.go
@@ -494,11 +494,15 @@
 }
 
 // downstreams are the jobs that come after one in its pipeline and wait to start:
-// those that name it, or else the next one of its owner and workload.
+// those that name it, or else the next one of its owner and workload, if the operators
+// want holds for these.
 func (l *Leader) downstreams(up *job) []reservations.Downstream {
 	if up.edged || len(l.waits.after[up.spec.NameID]) > 0 {
 		return l.downstreamEdges(up)
 	}
+	if !l.d.Operator.Holds.SubmissionOrder {
+		return nil
+	}
 	next := l.downstream(up)
 	if next == nil {
 		return nil
