--- /dev/null
+++ b/internal/leader/images.go
@@ -0,0 +1,73 @@
+package leader
+
+import (
+	"time"
+
+	"thornnotch/internal/workers"
+)
+
+// image is one image on a machine, or on its way there.
+type image struct {
+	name string
+	gb   float64
+	have bool
+}
+
+// noteImage follows which images are on the machine.
+func (l *Leader) noteImage(r *machine, j *job, a *workers.Attempt, now time.Time) {
+	if j == nil {
+		return
+	}
+	have := a.Status == workers.Waiting || a.Status == workers.Running || a.Status == workers.Saving ||
+		a.Status == workers.Exited && a.Cause == workers.CauseDone
+	if !have {
+		return
+	}
+	known := false
+	for _, im := range r.images {
+		known = known || im.name == j.spec.Bundle && im.have
+	}
+	r.useImage(j.spec.Bundle, j.spec.ImageGB, true, l.cacheOf(r))
+	if !known {
+		// The next leader must know too, or it fetches where it need not.
+		l.hintsChanged(r, now)
+	}
+}
+
+func (l *Leader) cacheOf(r *machine) float64 {
+	t, ok := l.d.Catalog().Type(r.m.Type)
+	if !ok {
+		return 0
+	}
+	return t.CacheGB
+}
+
+// useImage marks an image as used last and drops what no longer fits.
+func (r *machine) useImage(name string, gb float64, have bool, cache float64) {
+	for i, im := range r.images {
+		if im.name == name {
+			have = have || im.have
+			r.images = append(r.images[:i], r.images[i+1:]...)
+			break
+		}
+	}
+	r.images = append(r.images, image{name, gb, have})
+	sum := 0.0
+	for i := len(r.images) - 1; i >= 0; i-- {
+		sum += r.images[i].gb
+		if cache > 0 && sum > cache && i < len(r.images)-1 {
+			r.images = append([]image(nil), r.images[i+1:]...)
+			return
+		}
+	}
+}
+
+// keepImages drops fetches that ended with the session.
+func keepImages(in []image) (out []image) {
+	for _, im := range in {
+		if im.have {
+			out = append(out, im)
+		}
+	}
+	return out
+}
