--- a/internal/leader/commit.go
+++ b/internal/leader/commit.go
@@ -34,8 +34,10 @@
 	last    time.Time
 	// ringsAsked is when the nodes were last asked which rings they read.
 	ringsAsked time.Time
-	// more is set if the last transaction had no room for all that waited.
-	more bool
+	// more is set if the last transaction had no room for all that waited, moreSince is
+	// since when that has been so.
+	more      bool
+	moreSince time.Time
 	// since is when the present transaction was first sent.
 	since time.Time
 }
@@ -44,6 +46,19 @@
 	c.remains = make(map[string]uint64)
 }
 
+// setMore notes whether anything had no room in the transaction that goes out now.
+func (c *committer) setMore(more bool, now time.Time) {
+	if more && !c.more {
+		c.moreSince = now
+	}
+	c.more = more
+}
+
+// behind tells whether records have not kept up for a while.
+func (c *committer) behind(now time.Time) bool {
+	return c.more && now.Sub(c.moreSince) > constants.RecordsBehind
+}
+
 // commitDue is when the next transaction should go out; zero if there is none.
 func (l *Leader) commitDue() time.Time {
 	c := &l.committer
@@ -89,11 +104,12 @@
 	}
 	t := l.next()
 	if t == nil {
-		c.backoff, c.more = 0, false
+		c.backoff = 0
+		c.setMore(false, now)
 		return
 	}
 	c.busy, c.last = true, now
-	c.more = l.remains()
+	c.setMore(l.remains(), now)
 	when := append([]statestore.Cond{{K: election.NumberKey, Stamp: l.grant.Stamp}}, t.When...)
 	writes := t.Writes
 	l.tasks.Go(func() error {
