--- a/internal/leader/hints.go
+++ b/internal/leader/hints.go
@@ -40,8 +40,12 @@
 	}
 }
 
-// recordHints records what has been due for a while, as far as the budget allows.
+// recordHints records what has been due for a while, as far as the budget allows, and
+// nothing while the records of starts and ends are behind.
 func (l *Leader) recordHints(now time.Time) {
+	if l.committer.behind(now) {
+		return
+	}
 	for r, due := range l.hints.due {
 		if now.Before(due) {
 			continue
--- a/internal/leader/hints_test.go
+++ b/internal/leader/hints_test.go
@@ -36,6 +36,12 @@
 		if l.counts.HintBytes != 0 {
 			t.Errorf("recorded before it is quiet")
 		}
+		l.committer.setMore(true, now.Add(-constants.RecordsBehind))
+		l.recordHints(now.Add(constants.HintQuiet))
+		if l.counts.HintBytes != 0 {
+			t.Errorf("recorded while starts and ends wait")
+		}
+		l.committer.setMore(false, now)
 		for tick := range int(seconds * time.Second / constants.TickEvery) {
 			l.recordHints(now.Add(constants.HintQuiet + time.Duration(tick)*constants.TickEvery))
 		}
