--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -133,7 +133,7 @@
 	PassRest      = 4
 	PassEveryMost = 1200 * time.Millisecond
 	// RecordsBehind is for how long transactions must have had no room for all that waits
-	// for passes to be spaced by PassEveryMost.
+	// for hints to rest.
 	RecordsBehind = 2 * time.Second
 	// ViewAge is how old a machine's view for placement may be: estimates of
 	// the time left change with time alone.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -300,13 +300,8 @@
 }
 
 // passDue is when the next placement pass may run. A pass that takes long is
-// followed by a longer pause: reports and records must not wait for passes. So is one
-// whose starts would only wait for their records behind others: what is more urgent
-// must not stand behind them.
+// followed by a longer pause: reports and records must not wait for passes.
 func (l *Leader) passDue() time.Time {
-	if l.committer.behind(l.lastPass) {
-		return l.lastPass.Add(constants.PassEveryMost)
-	}
 	return l.lastPass.Add(min(max(constants.PassEvery, constants.PassRest*l.passTook), constants.PassEveryMost))
 }
 
--- a/internal/userapi/server_test.go
+++ b/internal/userapi/server_test.go
@@ -22,6 +22,7 @@
 
 // memory is a state service in a map; down makes it answer 503.
 type memory struct {
+	lock  sync.Mutex
 	rows  map[string]statestore.Row
 	stamp uint64
 	down  bool
@@ -31,6 +32,8 @@
 }
 
 func (m *memory) Get(_ context.Context, _ statestore.Class, key string) (statestore.Row, bool, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
 	m.gets++
 	if m.down {
 		return statestore.Row{}, false, statestore.ErrUnavailable
@@ -40,6 +43,8 @@
 }
 
 func (m *memory) Multi(_ context.Context, _ statestore.Class, when []statestore.Cond, writes []statestore.Write) (uint64, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
 	m.multis++
 	if m.before != nil {
 		m.before()
