--- a/cmd/thornnotch/main.go
+++ b/cmd/thornnotch/main.go
@@ -93,6 +93,7 @@
 type demoCmd struct {
 	Config string            `required:"" placeholder:"FILE" help:"The settings of one of the nodes (TOML)."`
 	Nodes  map[string]string `required:"" placeholder:"LABEL=HOST:PORT;..." help:"The nodes' users' addresses, by label."`
+	Lose   float64           `default:"0" placeholder:"PART" help:"The part of the transactions to the state service whose answer is lost."`
 }
 
 func (c *demoCmd) Run() error {
@@ -106,7 +107,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return standin.ServeSite(ctx, set, c.Nodes, log)
+	return standin.ServeSite(ctx, set, c.Nodes, c.Lose, log)
 }
 
 func newLogger(level string) (*slog.Logger, error) {
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -48,12 +49,34 @@
 
 func (system) Listen(network, addr string) (net.Listener, error) { return net.Listen(network, addr) }
 
+// losses has that part of the transactions that write get no answer. Half of these are
+// carried out at once, the others some seconds late, if their conditions still hold.
+func losses(part float64, log *slog.Logger) func(caller string, writes int) Fate {
+	const seed, latestS = 7, 3.0
+	draw := rand.New(rand.NewPCG(seed, seed))
+	return func(_ string, writes int) Fate {
+		if writes == 0 || draw.Float64() >= part {
+			return Fate{}
+		}
+		late := draw.Float64() < 0.5
+		log.Info("answer lost", "late", late)
+		if !late {
+			return Fate{Lost: true}
+		}
+		return Fate{Lost: true, After: config.Seconds(1 + draw.Float64()*latestS)}
+	}
+}
+
 // ServeSite runs a state service, a cloud and its machines on this computer,
 // for the nodes that the settings describe, until ctx ends. The nodes' own
-// users' addresses are given by label, for the workers.
-func ServeSite(ctx context.Context, set *config.Settings, nodes map[string]string, log *slog.Logger) error {
+// users' addresses are given by label, for the workers. Of the transactions to the state
+// service that write, the part lost gets no answer.
+func ServeSite(ctx context.Context, set *config.Settings, nodes map[string]string, lost float64, log *slog.Logger) error {
 	state := NewState()
 	defer state.Close()
+	if lost > 0 {
+		state.SetFate(losses(lost, log))
+	}
 	w := set.Params.Workers
 	meet := NewMeeting()
 	var addrs []string
