--- a/internal/leader/bench_test.go
+++ b/internal/leader/bench_test.go
@@ -231,6 +231,24 @@
 	})
 }
 
+// BenchmarkCommit is the record of 20 machines' changes: the transaction that holds it,
+// and what follows once it stands.
+func BenchmarkCommit(b *testing.B) {
+	perFleetSize(b, func(b *testing.B, machines int) {
+		l, list := grown(b, machines)
+		epoch := settle(l, 1000)
+		before := l.committer.log.Stats().EntryBytes
+		b.ResetTimer()
+		for i := range b.N {
+			for k := range 20 {
+				l.noteMeta(list[(i*20+k)%len(list)], nil)
+			}
+			epoch = settle(l, epoch)
+		}
+		b.ReportMetric(float64(l.committer.log.Stats().EntryBytes-before)/float64(b.N), "bytes")
+	})
+}
+
 // written carries out what a checkpoint of the whole site writes, and returns
 // the number of transactions and of changes in them.
 func written(l *Leader, rows map[string]wal.Row) (txns, changes int) {
--- a/internal/node/large_fleet_test.go
+++ b/internal/node/large_fleet_test.go
@@ -175,8 +175,18 @@
 				t.Errorf("%s had %d connections of %d", label, most, lay.params.Limits.Sockets)
 			}
 		}
+		// What the nodes may take by their settings, and what the stand-ins do beside.
+		var memory runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&memory)
+		nodesMB := float64(lay.nodes) * (constants.MemoryOwnMB + constants.MemoryPerWorkerMB*float64(lay.machines))
+		standinsMB := 0.05 * float64(lay.machines)
+		if held := float64(memory.HeapAlloc) / (1 << 20); held > nodesMB+standinsMB {
+			t.Errorf("%.0f MB are held, at most %.0f of the nodes and %.0f of the stand-ins", held, nodesMB, standinsMB)
+		}
+		t.Logf("%.0f MB held, %d routines", float64(memory.HeapAlloc)/(1<<20), runtime.NumGoroutine())
 		// Of each worker its own loop, its server, and a connection at either end.
-		if most := 12*lay.machines + 1000*lay.nodes; runtime.NumGoroutine() > most {
+		if most := 4*lay.machines + 1000*lay.nodes; runtime.NumGoroutine() > most {
 			t.Errorf("%d routines, at most %d", runtime.NumGoroutine(), most)
 		}
 	})
