--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -105,7 +105,7 @@
 		return nil, errRefused
 	}
 	a, b := net.Pipe()
-	a, b = &end{Conn: a, host: h, peer: l.host.name}, &end{Conn: b, host: l.host, peer: h.name}
+	a, b = &end{Conn: a, host: h, peer: l.host.name, sender: l.host}, &end{Conn: b, host: l.host, peer: h.name, accepted: true}
 	if !h.keep(a, addr) || !l.host.keep(b, "") {
 		a.Close()
 		b.Close()
@@ -179,6 +179,12 @@
 	net.Conn
 	host *Host
 	peer string
+	// sender is whose packets come late here: what a listener's host sends is waited for
+	// where it is read. net/rpc writes its answers under a lock, and whoever waits for
+	// that while its holder sleeps keeps a bubble's time from going on, for ever.
+	sender *Host
+	// accepted is set on the listener's end.
+	accepted bool
 }
 
 // RemoteAddr names the host at the other end.
@@ -187,6 +193,9 @@
 // Read reads what has come in.
 func (e *end) Read(b []byte) (int, error) {
 	n, err := e.Conn.Read(b)
+	if e.sender != nil {
+		e.sender.wait()
+	}
 	e.host.stand()
 	return n, err
 }
@@ -194,13 +203,20 @@
 // Write sends.
 func (e *end) Write(b []byte) (int, error) {
 	e.host.stand()
-	e.host.mu.Lock()
-	delay := e.host.delay
-	e.host.mu.Unlock()
+	if !e.accepted {
+		e.host.wait()
+	}
+	return e.Conn.Write(b)
+}
+
+// wait takes as long as a packet of the host does.
+func (h *Host) wait() {
+	h.mu.Lock()
+	delay := h.delay
+	h.mu.Unlock()
 	if delay != nil {
 		time.Sleep(delay())
 	}
-	return e.Conn.Write(b)
 }
 
 // Delay has each packet that the host sends take as long as is drawn; nil: no
