--- /dev/null
+++ b/internal/node/large_fleet_test.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"thornnotch/internal/config"
+	"thornnotch/internal/intake"
+	"thornnotch/internal/standin"
+)
+
+// largeFleet is 4,000 machines under three nodes, whose state service takes small
+// values and few changes in a transaction.
+func largeFleet() layout {
+	lay := small()
+	lay.machines, lay.step = 4000, time.Second
+	lay.params = config.Params{Teams: []config.Team{{Name: "a", GPUs: 8000, GPUsMax: 16000}},
+		Workers: config.Workers{ReportS: 6, LeaseS: 31, GangWaitS: 50, GangPeerS: 4, CancelS: 51},
+		State:   config.State{RPS: 500, WriteRPS: 200, ValueKB: 2, TxnOps: 10}, Cloud: config.Cloud{RPS: 5, ListLagS: 5},
+		Limits: config.Limits{Sockets: 4600}}
+	return lay
+}
+
+// TestLargeFleet takes 4,000 machines through what moves all of them at once: the
+// leader ends; a zone with a third of the machines and a node is cut off for longer
+// than the lease, and comes back; all nodes end; half of all jobs are cancelled
+// within a second. No rule is broken, no call is refused for its size, every worker
+// is answered within its lease wherever it can be, every job by every node, and no
+// node takes more routines or sockets than its settings and its workers make up.
+func TestLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		lay := largeFleet()
+		s := newSiteOf(t, ctx, lay)
+		defer s.wait.Wait()
+		defer cancel()
+		defer s.state.Close()
+		limits := standin.StateLimits{ValueBytes: int(lay.params.State.ValueKB * 1024), Ops: lay.params.State.TxnOps}
+		s.state.SetLimits(limits)
+		s.cloud.Fill(lay.machines)
+		for i := range lay.nodes {
+			s.start(i)
+		}
+		s.until(10*time.Second, "a leader", func() bool { return s.leader() != "" })
+		s.until(10*time.Second, "readiness", func() bool { c, _ := s.call(0, "GET", "/ready", nil); return c == http.StatusOK })
+		const jobs, tasks = 100, 80 // two tasks fill a machine
+		name := func(n int) string { return fmt.Sprintf("j-%06d", n) }
+		for n := range jobs {
+			j := testJob(n, "a", intake.Sweep, tasks)
+			j.ExpectS, j.VCPUs, j.Accelerators = 900, 12, 2
+			s.until(30*time.Second, "acceptance of "+j.NameID, func() bool {
+				c := s.submit(n%lay.nodes, j)
+				return c == http.StatusCreated || c == http.StatusOK
+			})
+		}
+		s.until(3*time.Minute, "all tasks running", func() bool { return len(s.running()) == jobs*tasks })
+		s.until(time.Minute, "all workers heard", func() bool { return s.workersHeard() == lay.machines })
+		before := s.running()
+
+		label := s.leader()
+		s.kill(label)
+		s.until(15*time.Second, "another leader", func() bool { return s.leader() != "" })
+		s.until(25*time.Second, "all workers heard by the next leader", func() bool { return s.workersHeard() == lay.machines })
+		s.start(int(label[4] - '0'))
+		time.Sleep(40 * time.Second)
+		s.sameTasks(before)
+
+		// The cloud is away, so that nobody replaces the zone's machines.
+		s.cloud.SetDown(true)
+		label = s.leader()
+		cut := fmt.Sprintf("rig-%d", (int(label[4]-'0')+1)%lay.nodes)
+		s.cutZone(cut)
+		time.Sleep(45 * time.Second)
+		s.heal()
+		s.cloud.SetDown(false)
+		s.until(30*time.Second, "all workers heard after the cut", func() bool { return s.workersHeard() == lay.machines })
+		s.until(3*time.Minute, "all tasks running after the cut", func() bool { return len(s.running()) == jobs*tasks })
+		before = s.running()
+
+		for label := range s.nodes {
+			s.kill(label)
+		}
+		time.Sleep(6 * time.Second)
+		for i := range lay.nodes {
+			s.start(i)
+		}
+		s.until(25*time.Second, "all workers heard after all nodes ended", func() bool { return s.workersHeard() == lay.machines })
+		time.Sleep(40 * time.Second)
+		s.sameTasks(before)
+
+		var answered atomic.Int64
+		var wait sync.WaitGroup
+		for n := range jobs / 2 {
+			wait.Go(func() {
+				s.until(30*time.Second, "the cancellation of "+name(n), func() bool {
+					c, st := s.call(n%lay.nodes, "POST", "/work/"+name(n)+"/cancel", nil)
+					if c == http.StatusOK && st.Status == intake.Aborted {
+						s.judge.cancelled(name(n))
+						answered.Add(1)
+						return true
+					}
+					return false
+				})
+			})
+		}
+		wait.Wait()
+		time.Sleep(config.Seconds(lay.params.Workers.CancelS))
+		s.judge.look()
+		if got, want := len(s.running()), (jobs-jobs/2)*tasks; got != want || answered.Load() != jobs/2 {
+			t.Errorf("%d tasks run after %d cancellations, want %d", got, answered.Load(), want)
+		}
+		for n := range jobs {
+			want := intake.Running
+			if n < jobs/2 {
+				want = intake.Aborted
+			}
+			for i := range lay.nodes {
+				s.until(10*time.Second, "an answer for "+name(n), func() bool { return s.status(i, name(n)) == want })
+			}
+		}
+		s.noRuleBroken()
+		if c := s.state.Counts(); c.TooLarge > 0 {
+			t.Errorf("%d calls were refused for their size", c.TooLarge)
+		}
+		for label, p := range s.nodes {
+			if most := p.host.Most(); most > lay.params.Limits.Sockets {
+				t.Errorf("%s had %d connections of %d", label, most, lay.params.Limits.Sockets)
+			}
+		}
+		// Of each worker its own loop, its server, and a connection at either end.
+		if most := 12*lay.machines + 1000*lay.nodes; runtime.NumGoroutine() > most {
+			t.Errorf("%d routines, at most %d", runtime.NumGoroutine(), most)
+		}
+	})
+}
