--- a/internal/leader/wal/record.go
+++ b/internal/leader/wal/record.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"strings"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // Keys.
@@ -27,7 +27,7 @@
 	largePrefix = Prefix + "w/"
 )
 
-func ringKey(seq uint64) string { return fmt.Sprintf("%s%04d", ringPrefix, seq%tuning.LogRing) }
+func ringKey(seq uint64) string { return fmt.Sprintf("%s%04d", ringPrefix, seq%constants.LogRing) }
 
 func largeKey(seq, ring uint64) string { return fmt.Sprintf("%s%05d", largePrefix, seq%ring) }
 
@@ -65,7 +65,7 @@
 	if h.Ring > 0 {
 		return int(h.Ring)
 	}
-	return tuning.LogRing
+	return constants.LogRing
 }
 
 // Prefixes list the keys that a takeover must read: of the checkpoint and of the
@@ -124,8 +124,8 @@
 	GB   float64 `json:"g"`
 }
 
-// Rig is what is kept of one machine.
-type Rig struct {
+// Machine is what is kept of one machine.
+type Machine struct {
 	Type     string         `json:"t,omitempty"`
 	Zone     string         `json:"z,omitempty"`
 	Spot     bool           `json:"s,omitempty"`
@@ -141,7 +141,7 @@
 // Change is what one entry says of one machine.
 type Change struct {
 	// Meta replaces all but the attempts.
-	Meta *Rig           `json:"m,omitempty"`
+	Meta *Machine       `json:"m,omitempty"`
 	Add  []Attempt      `json:"a,omitempty"`
 	Del  []Attempt      `json:"x,omitempty"` // proven to be off the machine
 	Jobs map[string]Job `json:"j,omitempty"`
@@ -154,16 +154,16 @@
 
 // Entry is one value of the log.
 type Entry struct {
-	Seq  uint64            `json:"s"`
-	Rigs map[string]Change `json:"r,omitempty"`
+	Seq      uint64            `json:"s"`
+	Machines map[string]Change `json:"r,omitempty"`
 	// Done are tasks that were completed, by job.
 	Done map[string][]int `json:"d,omitempty"`
 }
 
 // part is one value of a checkpoint.
 type part struct {
-	Rigs map[string]Rig    `json:"r,omitempty"`
-	Done map[string][]Done `json:"d,omitempty"`
+	Machines map[string]Machine `json:"r,omitempty"`
+	Done     map[string][]Done  `json:"d,omitempty"`
 }
 
 // Done is a run of a job's completed tasks: bits from task First on.
@@ -180,8 +180,8 @@
 
 // State is what the log says once it is read.
 type State struct {
-	Head Head
-	Rigs map[string]*Rig
+	Head     Head
+	Machines map[string]*Machine
 	// Done lists completed tasks; AllTasks means all of them.
 	Done map[string][]int
 }
@@ -191,7 +191,7 @@
 // an error: nothing may be decided without it. Rows that are not ours are
 // named in odd and do no harm.
 func Read(rows []Row) (st State, odd []string, err error) {
-	st = State{Rigs: make(map[string]*Rig), Done: make(map[string][]int)}
+	st = State{Machines: make(map[string]*Machine), Done: make(map[string][]int)}
 	byKey := make(map[string]json.RawMessage, len(rows))
 	for _, r := range rows {
 		byKey[r.Key] = r.Value
@@ -213,8 +213,8 @@
 		if err := decode(byKey, key, &p); err != nil {
 			return st, odd, err
 		}
-		for name, r := range p.Rigs {
-			st.Rigs[name] = &r
+		for name, r := range p.Machines {
+			st.Machines[name] = &r
 		}
 		for job, runs := range p.Done {
 			for _, d := range runs {
@@ -262,17 +262,17 @@
 
 // apply takes in one entry.
 func (st *State) apply(e Entry) {
-	for name, c := range e.Rigs {
+	for name, c := range e.Machines {
 		if c.Gone {
-			delete(st.Rigs, name)
+			delete(st.Machines, name)
 			if c.Meta == nil && len(c.Add) == 0 {
 				continue
 			}
 		}
-		r := st.Rigs[name]
+		r := st.Machines[name]
 		if r == nil {
-			r = &Rig{}
-			st.Rigs[name] = r
+			r = &Machine{}
+			st.Machines[name] = r
 		}
 		if c.Meta != nil {
 			m := *c.Meta
@@ -296,7 +296,7 @@
 	}
 }
 
-func (r *Rig) remove(gone []Attempt) {
+func (r *Machine) remove(gone []Attempt) {
 	for _, g := range gone {
 		kept := r.Attempts[:0:0]
 		for _, a := range r.Attempts {
--- a/internal/leader/wal/writer.go
+++ b/internal/leader/wal/writer.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/statestore"
 )
 
 // Limits are the state service's.
@@ -25,8 +25,8 @@
 
 // Extra is a change of other keys that goes with a transaction.
 type Extra struct {
-	When   []ledger.Cond
-	Writes []ledger.Write
+	When   []statestore.Cond
+	Writes []statestore.Write
 	// Stood is called once the transaction is known to stand; Clash when it
 	// will never be carried out because of this part, Again when it will not
 	// because of another: this one must be asked for anew.
@@ -38,8 +38,8 @@
 // Source gives the checkpoint its contents, each as it is when its part is
 // written. It must include whatever may be on machines.
 type Source interface {
-	// Rig is a machine's record; ok is false for one that is gone.
-	Rig(name string) (r Rig, ok bool)
+	// Machine is a machine's record; ok is false for one that is gone.
+	Machine(name string) (r Machine, ok bool)
 	// Done are a job's completed tasks.
 	Done(job string) []Done
 }
@@ -79,13 +79,13 @@
 }
 
 type checkpoint struct {
-	area  string
-	from  uint64
-	parts int
-	rigs  []string
-	total int // machines as it began
-	jobs  []string
-	src   Source
+	area     string
+	from     uint64
+	parts    int
+	machines []string
+	total    int // machines as it began
+	jobs     []string
+	src      Source
 	// first is the next run of jobs[0] to write.
 	first int
 	ready bool
@@ -97,11 +97,11 @@
 // Txn is one transaction. It is sent with the same contents until its fate is
 // known.
 type Txn struct {
-	When   []ledger.Cond
-	Writes []ledger.Write
+	When   []statestore.Cond
+	Writes []statestore.Write
 
 	extras []Extra
-	values []ledger.Write
+	values []statestore.Write
 	head   Head
 	stood  []func()
 	check  *checkpoint // advanced by this transaction
@@ -114,23 +114,23 @@
 // NewWriter goes on behind the head that was read, with its revision.
 func NewWriter(term uint64, lim Limits, head Head, stamp uint64) *Writer {
 	return &Writer{term: term, lim: lim, head: head, stamp: stamp,
-		largeRing: tuning.LogRingLarge, largeParts: tuning.LogRing / tuning.LargeRingParts,
+		largeRing: constants.LogRingLarge, largeParts: constants.LogRing / constants.LargeRingParts,
 		changes: make(map[string]*change), done: make(map[string][]int)}
 }
 
-func (w *Writer) change(rig string) *change {
-	c := w.changes[rig]
+func (w *Writer) change(machine string) *change {
+	c := w.changes[machine]
 	if c == nil {
 		c = &change{}
-		w.changes[rig] = c
-		w.order = append(w.order, rig)
+		w.changes[machine] = c
+		w.order = append(w.order, machine)
 	}
 	return c
 }
 
 // Add records that an attempt may be on a machine from now on.
-func (w *Writer) Add(rig string, a Attempt, id string, j Job, stood func()) {
-	c := w.change(rig)
+func (w *Writer) Add(machine string, a Attempt, id string, j Job, stood func()) {
+	c := w.change(machine)
 	c.Add = append(c.Add, a)
 	if c.Jobs == nil {
 		c.Jobs = make(map[string]Job)
@@ -145,8 +145,8 @@
 }
 
 // Del records that an attempt is proven to be off its machine.
-func (w *Writer) Del(rig string, a Attempt) {
-	c := w.change(rig)
+func (w *Writer) Del(machine string, a Attempt) {
+	c := w.change(machine)
 	for i, b := range c.Add {
 		if b == a {
 			// Never logged: it need not be, unless a part has overtaken it.
@@ -161,9 +161,9 @@
 }
 
 // Meta records a machine's other data.
-func (w *Writer) Meta(rig string, r Rig, stood func()) {
+func (w *Writer) Meta(machine string, r Machine, stood func()) {
 	r.Attempts, r.Jobs = nil, nil
-	c := w.change(rig)
+	c := w.change(machine)
 	c.Meta = &r
 	if stood != nil {
 		c.stood = append(c.stood, stood)
@@ -171,8 +171,8 @@
 }
 
 // Gone records that a machine is no more.
-func (w *Writer) Gone(rig string) {
-	c := w.change(rig)
+func (w *Writer) Gone(machine string) {
+	c := w.change(machine)
 	c.Change = Change{Gone: true}
 	c.stood, c.addFns = nil, nil
 }
@@ -211,7 +211,7 @@
 
 // Checkpoint begins to write the whole state anew; over is called once it
 // counts.
-func (w *Writer) Checkpoint(rigs, jobs []string, src Source, over func()) {
+func (w *Writer) Checkpoint(machines, jobs []string, src Source, over func()) {
 	if w.check != nil {
 		return
 	}
@@ -225,7 +225,7 @@
 	if w.flight != nil {
 		from = w.flight.head.Next
 	}
-	w.check = &checkpoint{area: area, from: from, rigs: rigs, total: len(rigs), jobs: jobs, src: src, over: over, wrote: w.overtaken}
+	w.check = &checkpoint{area: area, from: from, machines: machines, total: len(machines), jobs: jobs, src: src, over: over, wrote: w.overtaken}
 }
 
 // overtaken notes that a part holds what waits to be recorded of a machine.
@@ -252,14 +252,14 @@
 	}
 	w.chooseRing(&t.head)
 	partOps := w.partShare(w.lim.Ops - ops)
-	entryBytes := tuning.TxnBytes - (tuning.TxnBytes-size)*partOps/max(w.lim.Ops-ops, 1)
+	entryBytes := constants.TxnBytes - (constants.TxnBytes-size)*partOps/max(w.lim.Ops-ops, 1)
 	// The ring must never run into the entries that still count.
 	for ops < w.lim.Ops-partOps && size < entryBytes && w.mayAdd(t.head, len(t.values)) {
 		v, stood := w.take(t.head.Next)
 		if v == nil {
 			break
 		}
-		t.values = append(t.values, ledger.Write{Set: t.head.entryKey(t.head.Next), V: v})
+		t.values = append(t.values, statestore.Write{Set: t.head.entryKey(t.head.Next), V: v})
 		w.stats.Entries++
 		w.stats.EntryBytes += uint64(len(v))
 		t.stood = append(t.stood, stood...)
@@ -268,13 +268,13 @@
 		size += len(v)
 	}
 	if c := w.check; c != nil {
-		for i := 0; i < max(partOps, 1) && ops < w.lim.Ops && size < tuning.TxnBytes && !c.ready; i++ {
+		for i := 0; i < max(partOps, 1) && ops < w.lim.Ops && size < constants.TxnBytes && !c.ready; i++ {
 			v := c.next(w.lim.ValueBytes)
 			if v == nil {
 				c.ready = true
 				break
 			}
-			t.values = append(t.values, ledger.Write{Set: partKey(c.area, c.parts), V: v})
+			t.values = append(t.values, statestore.Write{Set: partKey(c.area, c.parts), V: v})
 			c.parts++
 			t.parts++
 			w.stats.Parts++
@@ -304,7 +304,7 @@
 	if w.giveUpLarge(h) {
 		return false
 	}
-	return w.Backlog()+added < min(w.head.ring(), h.ring())-tuning.LogSlack
+	return w.Backlog()+added < min(w.head.ring(), h.ring())-constants.LogSlack
 }
 
 // SetLarge says whether entries may stand in the large ring. It is used once the
@@ -344,8 +344,8 @@
 // checkpointAfter is how many entries may be read on top of a checkpoint before the
 // next is begun. As many may come on top while it is written.
 func (w *Writer) checkpointAfter() int {
-	half := int(float64(w.head.ring()) * tuning.LogFill / 2)
-	return max(tuning.CheckpointAfter, min(tuning.CheckpointWorth*w.head.Parts, half))
+	half := int(float64(w.head.ring()) * constants.LogFill / 2)
+	return max(constants.CheckpointAfter, min(constants.CheckpointWorth*w.head.Parts, half))
 }
 
 // partShare is how many of so many changes of a transaction are kept for parts of the
@@ -373,14 +373,14 @@
 	if c.parts == 0 {
 		return max(last, 1)
 	}
-	perPart := max(float64(c.total-len(c.rigs))/float64(c.parts), 1)
-	return int(float64(len(c.rigs))/perPart) + 1
+	perPart := max(float64(c.total-len(c.machines))/float64(c.parts), 1)
+	return int(float64(len(c.machines))/perPart) + 1
 }
 
 func (w *Writer) seal(t *Txn) {
 	raw, _ := json.Marshal(t.head) // plain fields always encode
-	t.When = []ledger.Cond{{K: HeadKey, Stamp: w.stamp}}
-	t.Writes = []ledger.Write{{Set: HeadKey, V: raw}}
+	t.When = []statestore.Cond{{K: HeadKey, Stamp: w.stamp}}
+	t.Writes = []statestore.Write{{Set: HeadKey, V: raw}}
 	for _, e := range t.extras {
 		t.When = append(t.When, e.When...)
 		t.Writes = append(t.Writes, e.Writes...)
@@ -395,17 +395,17 @@
 	}
 	room := w.lim.ValueBytes - 64
 	type entry struct {
-		Seq  uint64                     `json:"s"`
-		Rigs map[string]json.RawMessage `json:"r,omitempty"`
-		Done map[string][]int           `json:"d,omitempty"`
+		Seq      uint64                     `json:"s"`
+		Machines map[string]json.RawMessage `json:"r,omitempty"`
+		Done     map[string][]int           `json:"d,omitempty"`
 	}
-	e := entry{Seq: seq, Rigs: make(map[string]json.RawMessage), Done: make(map[string][]int)}
+	e := entry{Seq: seq, Machines: make(map[string]json.RawMessage), Done: make(map[string][]int)}
 	var stood []func()
 	n := 0
 	for _, name := range w.order {
 		c := w.changes[name]
 		raw, _ := json.Marshal(c.Change) // plain fields always encode
-		if len(raw)+len(name)+4 > room && len(e.Rigs) > 0 {
+		if len(raw)+len(name)+4 > room && len(e.Machines) > 0 {
 			break
 		}
 		n++
@@ -414,7 +414,7 @@
 			continue // all of it was taken back
 		}
 		room -= len(raw) + len(name) + 4
-		e.Rigs[name] = raw
+		e.Machines[name] = raw
 		stood = append(stood, c.stood...)
 		for _, f := range c.addFns {
 			stood = append(stood, f)
@@ -449,7 +449,7 @@
 		stood = append(stood, w.doneFns...)
 		w.doneFns = nil
 	}
-	if len(e.Rigs) == 0 && len(e.Done) == 0 {
+	if len(e.Machines) == 0 && len(e.Done) == 0 {
 		return nil, nil
 	}
 	return marshal(e), stood
@@ -463,39 +463,39 @@
 	return raw
 }
 
-func (c *checkpoint) empty() bool { return len(c.rigs) == 0 && len(c.jobs) == 0 }
+func (c *checkpoint) empty() bool { return len(c.machines) == 0 && len(c.jobs) == 0 }
 
 // next makes the next part; nil when there is none.
 func (c *checkpoint) next(limit int) json.RawMessage {
 	room := limit - 64
 	type body struct {
-		Rigs map[string]json.RawMessage `json:"r,omitempty"`
-		Done map[string][]Done          `json:"d,omitempty"`
+		Machines map[string]json.RawMessage `json:"r,omitempty"`
+		Done     map[string][]Done          `json:"d,omitempty"`
 	}
-	p := body{Rigs: make(map[string]json.RawMessage), Done: make(map[string][]Done)}
-	for len(c.rigs) > 0 {
-		r, ok := c.src.Rig(c.rigs[0])
+	p := body{Machines: make(map[string]json.RawMessage), Done: make(map[string][]Done)}
+	for len(c.machines) > 0 {
+		r, ok := c.src.Machine(c.machines[0])
 		if ok {
 			raw := marshal(r)
 			if len(raw)+64 > limit {
 				r.Images, r.Holds = nil, nil // hints
 				raw = marshal(r)
 			}
-			if len(raw)+len(c.rigs[0])+4 > room && len(p.Rigs) > 0 {
+			if len(raw)+len(c.machines[0])+4 > room && len(p.Machines) > 0 {
 				return marshal(p)
 			}
-			p.Rigs[c.rigs[0]] = raw
-			c.wrote(c.rigs[0])
-			room -= len(raw) + len(c.rigs[0]) + 4
+			p.Machines[c.machines[0]] = raw
+			c.wrote(c.machines[0])
+			room -= len(raw) + len(c.machines[0]) + 4
 		}
-		c.rigs = c.rigs[1:]
+		c.machines = c.machines[1:]
 	}
 	for len(c.jobs) > 0 {
 		runs := c.src.Done(c.jobs[0])
 		for c.first < len(runs) {
 			d := runs[c.first]
 			need := len(d.Bits)*4/3 + len(c.jobs[0]) + 40
-			if need > room && len(p.Rigs)+len(p.Done) > 0 {
+			if need > room && len(p.Machines)+len(p.Done) > 0 {
 				return marshal(p)
 			}
 			p.Done[c.jobs[0]] = append(p.Done[c.jobs[0]], d)
@@ -504,7 +504,7 @@
 		}
 		c.jobs, c.first = c.jobs[1:], 0
 	}
-	if len(p.Rigs)+len(p.Done) == 0 {
+	if len(p.Machines)+len(p.Done) == 0 {
 		return nil
 	}
 	return marshal(p)
--- a/internal/node/vouch.go
+++ b/internal/node/confirmations.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"thornnotch/internal/vouch"
+	"thornnotch/internal/confirmations"
 )
 
 // Vouch tells another node which cancellations this process has told users of.
@@ -19,12 +19,12 @@
 
 // allVouch asks this node and all others.
 func (n *Node) allVouch(ctx context.Context, span time.Duration) (cancelled []string, ok bool) {
-	words := make([]vouch.Word, 1+len(n.set.Known))
+	words := make([]confirmations.Word, 1+len(n.set.Known))
 	var wait sync.WaitGroup
 	for i, k := range n.set.Known {
 		wait.Go(func() { words[1+i].Cancelled, words[1+i].OK = n.peers.Vouch(ctx, k.Label, span) })
 	}
 	words[0].Cancelled, words[0].OK = n.Vouch(span)
 	wait.Wait()
-	return vouch.Unanimous(words, n.set.Params.Count)
+	return confirmations.Unanimous(words, n.set.Params.Count)
 }
--- a/internal/node/formats.go
+++ b/internal/node/formats.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // readsLargeRing tells whether every node of the site runs a version that reads the
@@ -15,7 +15,7 @@
 	}
 	for _, k := range n.set.Known {
 		formats, err := n.peers.Formats(ctx, k.Label)
-		if err != nil || formats.LogRing < tuning.LogRingLarge {
+		if err != nil || formats.LogRing < constants.LogRingLarge {
 			return false
 		}
 	}
--- a/internal/node/needs.go
+++ b/internal/node/needs.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // What a node takes of its machine, and what is scarce, for operators.
@@ -29,7 +29,7 @@
 		return 0
 	}
 	gpus, cpus := 0.0, 0.0
-	for _, t := range cat.RigTypes {
+	for _, t := range cat.MachineTypes {
 		gpus, cpus = max(gpus, t.Accelerators), max(cpus, t.VCPUs)
 	}
 	sum := 0.0
@@ -61,15 +61,15 @@
 	if n.sockets.user() {
 		out = append(out, "sockets")
 	}
-	if lim := n.set.Params.Limits.MemMB; lim > 0 && memory > tuning.MemoryScarce*lim {
+	if lim := n.set.Params.Limits.MemMB; lim > 0 && memory > constants.MemoryScarce*lim {
 		out = append(out, "memory")
 	}
 	requests, changes := n.store.Budget.Left()
 	rps, writes := n.share(n.leading.Load() != nil)
-	if requests < tuning.TokensScarce*rps {
+	if requests < constants.TokensScarce*rps {
 		out = append(out, "state service requests")
 	}
-	if changes < tuning.TokensScarce*writes {
+	if changes < constants.TokensScarce*writes {
 		out = append(out, "state service changes")
 	}
 	return out
@@ -79,7 +79,7 @@
 // once the catalog is known, whether the settings are enough for the machines
 // that the teams are guaranteed.
 func (n *Node) watchNeeds(ctx context.Context) error {
-	tick := time.NewTicker(tuning.NeedsEvery)
+	tick := time.NewTicker(constants.NeedsEvery)
 	defer tick.Stop()
 	var was []string
 	warned := false
@@ -91,7 +91,7 @@
 		}
 		if least := n.guaranteedMachines(); !warned && least > 0 {
 			warned = true
-			if least > tuning.WorkersLeast {
+			if least > constants.WorkersLeast {
 				n.warn(least)
 			}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,14 +18,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/fleet"
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/election"
 	"thornnotch/internal/leader"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/market"
-	"thornnotch/internal/mesh"
-	"thornnotch/internal/term"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/peers"
+	"thornnotch/internal/provisioning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
+	"thornnotch/internal/workers"
 )
 
 // catalogKey keeps the last catalog, so that a node that starts while the
@@ -50,18 +50,18 @@
 	set     *config.Settings
 	op      config.Operator
 	log     *slog.Logger
-	store   *ledger.Client
-	cloud   *market.Cloud
-	elector *term.Elector
-	peers   *mesh.Peers
-	catalog atomic.Pointer[market.Catalog]
+	store   *statestore.Client
+	cloud   *provisioning.Cloud
+	elector *election.Elector
+	peers   *peers.Peers
+	catalog atomic.Pointer[provisioning.Catalog]
 	leading atomic.Pointer[leader.Leader]
 	// helpers are nodes that the state service answers while it does not
 	// answer this one; lonely is set when no other node answers either.
 	helpers atomic.Pointer[[]string]
 	lonely  atomic.Bool
 	users   http.Handler
-	intake  atomic.Pointer[intake.Server]
+	intake  atomic.Pointer[userapi.Server]
 	sockets *sockets
 	limits  limits
 	version string
@@ -71,20 +71,20 @@
 func New(set *config.Settings, op config.Operator, network Network, log *slog.Logger) *Node {
 	n := &Node{net: network, set: set, op: op, log: log,
 		sockets: newSockets(set.SocketLimit()), version: buildVersion()}
-	n.store = ledger.New(set.Services.State, ledger.NewBudget(n.share(false)), network.DialContext)
+	n.store = statestore.New(set.Services.State, statestore.NewBudget(n.share(false)), network.DialContext)
 	n.store.Limited = func() {
 		if n.limits.refused(time.Now()) {
 			n.log.Info("the state service has lowered its rates")
 			n.store.Budget.SetShare(n.share(n.leading.Load() != nil))
 		}
 	}
-	n.cloud = market.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use, network.DialContext)
-	n.elector = term.New(set.Label, n.store, log)
+	n.cloud = provisioning.NewCloud(set.Services.Cloud, set.Params.Cloud.RPS*op.Budgets.Use, network.DialContext)
+	n.elector = election.New(set.Label, n.store, log)
 	addrs := make(map[string]string)
 	for _, k := range set.Known {
 		addrs[k.Label] = k.Addr
 	}
-	n.peers = mesh.NewPeers(addrs, network.DialContext)
+	n.peers = peers.NewPeers(addrs, network.DialContext)
 	return n
 }
 
@@ -108,15 +108,15 @@
 // that a user is let wait: each is one change.
 func (n *Node) submitsAtOnce() int {
 	_, changes := n.share(false)
-	return max(tuning.SubmitsLeast, int(changes*(1+tuning.UserPatience.Seconds())))
+	return max(constants.SubmitsLeast, int(changes*(1+constants.UserPatience.Seconds())))
 }
 
 // FitMachine keeps the Go runtime within the machine's limits.
 func FitMachine(lim config.Limits) {
 	if lim.MemMB > 0 {
-		debug.SetMemoryLimit(int64(lim.MemMB * tuning.MemoryShare * (1 << 20)))
+		debug.SetMemoryLimit(int64(lim.MemMB * constants.MemoryShare * (1 << 20)))
 		// Collect seldom: the memory limit above keeps the heap in bounds.
-		debug.SetGCPercent(tuning.GCPercent)
+		debug.SetGCPercent(constants.GCPercent)
 	}
 	if lim.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(lim.Cores)))
@@ -125,7 +125,7 @@
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	users, err := intake.NewServer(n.store, n.set.Params.Teams, n.set.Params.State, n.submitsAtOnce(), func() []intake.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
+	users, err := userapi.NewServer(n.store, n.set.Params.Teams, n.set.Params.State, n.submitsAtOnce(), func() []userapi.MachineType { return n.catalog.Load().Shapes() }, n.progress, n.ready, n.log)
 	if err != nil {
 		return err
 	}
@@ -150,8 +150,8 @@
 		return fmt.Errorf("mesh: %w", err)
 	}
 	srv := &http.Server{
-		Handler: mux, ReadHeaderTimeout: tuning.HeaderTimeout, ReadTimeout: tuning.BodyTimeout,
-		IdleTimeout: tuning.IdleTimeout, MaxHeaderBytes: 16 << 10,
+		Handler: mux, ReadHeaderTimeout: constants.HeaderTimeout, ReadTimeout: constants.BodyTimeout,
+		IdleTimeout: constants.IdleTimeout, MaxHeaderBytes: 16 << 10,
 		ErrorLog:  slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 		ConnState: n.sockets.follow, ConnContext: n.sockets.accepted,
 	}
@@ -164,7 +164,7 @@
 		attrs = append(attrs, "room_for_workers_by_memory", byMemory)
 	}
 	n.log.Info("serving", attrs...)
-	n.warn(tuning.WorkersLeast)
+	n.warn(constants.WorkersLeast)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := srv.Serve(listen); !errors.Is(err, http.ErrServerClosed) {
@@ -174,11 +174,13 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), tuning.ShutdownGrace)
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), constants.ShutdownGrace)
 		defer cancel()
 		return srv.Shutdown(stop)
 	})
-	group.Go(func() error { return mesh.Serve(ctx, meshListen, n, max(1, len(n.set.Known))*tuning.MeshConnsPerNode) })
+	group.Go(func() error {
+		return peers.Serve(ctx, meshListen, n, max(1, len(n.set.Known))*constants.MeshConnsPerNode)
+	})
 	group.Go(func() error { return n.keepCatalog(ctx) })
 	group.Go(func() error { return n.watchHealth(ctx) })
 	group.Go(func() error { return n.watchNeeds(ctx) })
@@ -193,11 +195,11 @@
 }
 
 // lead runs one term.
-func (n *Node) lead(ctx context.Context, g term.Grant) error {
+func (n *Node) lead(ctx context.Context, g election.Grant) error {
 	set := *n.set
 	set.Params.State = n.limits.within(set.Params.State)
 	l := leader.New(leader.Deps{
-		Settings: &set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: fleet.NewCourier(n.net.DialContext),
+		Settings: &set, Operator: n.op, Store: n.store, Cloud: n.cloud, Workers: workers.NewCourier(n.net.DialContext),
 		Catalog: n.catalog.Load, Drawn: n.store.Budget.Drawn, Vouch: n.allVouch, ReadsLargeRing: n.readsLargeRing, Log: n.log,
 	}, g)
 	n.store.Budget.SetShare(n.share(true))
@@ -220,21 +222,21 @@
 func (n *Node) ready() bool { return n.catalog.Load() != nil && !n.lonely.Load() }
 
 // Progress tells how far jobs are if this node leads.
-func (n *Node) Progress(ctx context.Context, jobs []string) map[string]mesh.Count {
+func (n *Node) Progress(ctx context.Context, jobs []string) map[string]peers.Count {
 	l := n.leading.Load()
 	if l == nil {
 		return nil
 	}
-	out := make(map[string]mesh.Count, len(jobs))
+	out := make(map[string]peers.Count, len(jobs))
 	for id, p := range l.Progress(ctx, jobs) {
-		out[id] = mesh.Count(p)
+		out[id] = peers.Count(p)
 	}
 	return out
 }
 
 // progress asks whoever leads.
-func (n *Node) progress(ctx context.Context, jobs []string) map[string]intake.Tasks {
-	var counts map[string]mesh.Count
+func (n *Node) progress(ctx context.Context, jobs []string) map[string]userapi.Tasks {
+	var counts map[string]peers.Count
 	if n.leading.Load() != nil {
 		counts = n.Progress(ctx, jobs)
 	} else if label, _ := n.elector.Leader(); label != "" && label != n.set.Label {
@@ -243,36 +245,36 @@
 			return nil
 		}
 	}
-	out := make(map[string]intake.Tasks, len(counts))
+	out := make(map[string]userapi.Tasks, len(counts))
 	for id, c := range counts {
-		out[id] = intake.Tasks(c)
+		out[id] = userapi.Tasks(c)
 	}
 	return out
 }
 
 // hello answers workers: the leader gives orders, the others name it.
 func (n *Node) hello(w http.ResponseWriter, r *http.Request) {
-	raw, ok := intake.ReadBody(w, r)
+	raw, ok := userapi.ReadBody(w, r)
 	if !ok {
 		return
 	}
-	rep, err := fleet.DecodeReport(raw)
+	rep, err := workers.DecodeReport(raw)
 	if err != nil {
-		intake.WriteJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		userapi.WriteJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
 		return
 	}
 	if l := n.leading.Load(); l != nil {
-		ctx, cancel := context.WithTimeout(r.Context(), tuning.HelloPatience)
+		ctx, cancel := context.WithTimeout(r.Context(), constants.HelloPatience)
 		defer cancel()
 		a, ok := l.Hello(ctx, rep)
 		if n.sockets.worker(r.Context()) {
 			w.Header().Set("Connection", "close")
 		}
 		if ok && a.Status == http.StatusOK {
-			intake.WriteJSON(w, http.StatusOK, a.Answer)
+			userapi.WriteJSON(w, http.StatusOK, a.Answer)
 			return
 		}
-		intake.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "not able to act now"})
+		userapi.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "not able to act now"})
 		return
 	}
 	body := map[string]string{}
@@ -281,7 +283,7 @@
 	}
 	// A worker that is sent on has no use for this connection.
 	w.Header().Set("Connection", "close")
-	intake.WriteJSON(w, http.StatusMisdirectedRequest, body)
+	userapi.WriteJSON(w, http.StatusMisdirectedRequest, body)
 }
 
 // keepCatalog keeps the catalog at hand: from the cloud, or as another node
@@ -291,7 +293,7 @@
 		if n.catalog.Load() == nil {
 			n.recallCatalog(ctx)
 		}
-		wait := tuning.CatalogEvery
+		wait := constants.CatalogEvery
 		if n.catalog.Load() == nil || n.leading.Load() != nil {
 			cat, err := n.cloud.Catalog(ctx)
 			if err != nil {
@@ -302,7 +304,7 @@
 			}
 		}
 		if n.catalog.Load() == nil {
-			wait = tuning.CatalogRetry
+			wait = constants.CatalogRetry
 		}
 		t := time.NewTimer(wait)
 		select {
@@ -315,11 +317,11 @@
 }
 
 func (n *Node) recallCatalog(ctx context.Context) {
-	row, found, err := n.store.Get(ctx, ledger.Poll, catalogKey)
+	row, found, err := n.store.Get(ctx, statestore.Poll, catalogKey)
 	if err != nil || !found {
 		return
 	}
-	var cat market.Catalog
+	var cat provisioning.Catalog
 	if err := json.Unmarshal(row.V, &cat); err != nil || cat.Check() != nil {
 		n.log.Error("recorded catalog is unreadable", "err", err)
 		return
@@ -327,12 +329,12 @@
 	n.catalog.Store(&cat)
 }
 
-func (n *Node) recordCatalog(ctx context.Context, cat *market.Catalog) {
+func (n *Node) recordCatalog(ctx context.Context, cat *provisioning.Catalog) {
 	raw, err := json.Marshal(cat)
 	if err != nil {
 		return
 	}
-	if _, err := n.store.Multi(ctx, ledger.Hold, nil, []ledger.Write{{Set: catalogKey, V: raw}}); err != nil {
+	if _, err := n.store.Multi(ctx, statestore.Hold, nil, []statestore.Write{{Set: catalogKey, V: raw}}); err != nil {
 		n.log.Debug("catalog not recorded", "err", err)
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"thornnotch/internal/intake"
-	"thornnotch/internal/mesh"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/peers"
+	"thornnotch/internal/userapi"
 )
 
 // The state service may refuse one node alone, or be out of its reach, while
@@ -20,12 +20,12 @@
 
 // Healthy tells whether the state service answers this node.
 func (n *Node) Healthy() bool {
-	return n.store.Failing() == 0 && time.Since(n.store.Answers()) < tuning.HealthFresh
+	return n.store.Failing() == 0 && time.Since(n.store.Answers()) < constants.HealthFresh
 }
 
 // watchHealth finds out who can help while the state service fails this node.
 func (n *Node) watchHealth(ctx context.Context) error {
-	tick := time.NewTicker(tuning.HealthEvery)
+	tick := time.NewTicker(constants.HealthEvery)
 	defer tick.Stop()
 	for {
 		select {
@@ -34,14 +34,14 @@
 		case <-tick.C:
 		}
 		failing := n.store.Failing()
-		if failing < tuning.HealthEvery {
+		if failing < constants.HealthEvery {
 			n.helpers.Store(nil)
 			n.lonely.Store(false)
 			continue
 		}
 		helpers, reached := n.askHealth(ctx)
 		n.helpers.Store(&helpers)
-		n.lonely.Store(reached == 0 && len(n.set.Known) > 0 && failing > tuning.LonelyAfter)
+		n.lonely.Store(reached == 0 && len(n.set.Known) > 0 && failing > constants.LonelyAfter)
 	}
 }
 
@@ -76,11 +76,11 @@
 		n.users.ServeHTTP(w, r)
 		return
 	}
-	body, ok := intake.ReadBody(w, r)
+	body, ok := userapi.ReadBody(w, r)
 	if !ok {
 		return
 	}
-	req := mesh.RelayArgs{Method: r.Method, Path: r.URL.EscapedPath(), Body: body}
+	req := peers.RelayArgs{Method: r.Method, Path: r.URL.EscapedPath(), Body: body}
 	for _, label := range (*helpers)[:min(len(*helpers), 2)] {
 		a, err := n.peers.Relay(r.Context(), label, req)
 		if err != nil || a.Status == 0 {
@@ -95,7 +95,7 @@
 		_, _ = w.Write(a.Body)
 		return
 	}
-	r.Body = http.MaxBytesReader(w, nopCloser{bytes.NewReader(body)}, tuning.BodyMax)
+	r.Body = http.MaxBytesReader(w, nopCloser{bytes.NewReader(body)}, constants.BodyMax)
 	n.users.ServeHTTP(w, r)
 }
 
@@ -104,17 +104,17 @@
 func (nopCloser) Close() error { return nil }
 
 // Relay serves a request that another node passes on.
-func (n *Node) Relay(ctx context.Context, req mesh.RelayArgs) mesh.RelayReply {
+func (n *Node) Relay(ctx context.Context, req peers.RelayArgs) peers.RelayReply {
 	if n.users == nil || !n.Healthy() || !strings.HasPrefix(req.Path, "/work") {
-		return mesh.RelayReply{}
+		return peers.RelayReply{}
 	}
 	r, err := http.NewRequestWithContext(ctx, req.Method, req.Path, bytes.NewReader(req.Body))
 	if err != nil {
-		return mesh.RelayReply{}
+		return peers.RelayReply{}
 	}
 	rec := recorder{header: make(http.Header), status: http.StatusOK}
 	n.users.ServeHTTP(&rec, r)
-	return mesh.RelayReply{Status: rec.status, RetryAfter: rec.header.Get("Retry-After"), Body: rec.body.Bytes()}
+	return peers.RelayReply{Status: rec.status, RetryAfter: rec.header.Get("Retry-After"), Body: rec.body.Bytes()}
 }
 
 // recorder keeps an answer that goes back over the mesh.
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"sync"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // sockets decides whose connections are kept when they run short. Workers are
@@ -93,7 +93,7 @@
 		if s.open[c] == nil {
 			s.open[c] = &link{}
 		}
-		if s.beyond(tuning.SocketsFull) {
+		if s.beyond(constants.SocketsFull) {
 			end = s.oldest()
 		}
 	case http.StateActive:
@@ -141,7 +141,7 @@
 func (s *sockets) user() (last bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.beyond(tuning.SocketsScarce)
+	return s.beyond(constants.SocketsScarce)
 }
 
 // worker notes a worker's report, likewise.
@@ -151,7 +151,7 @@
 	if l, ok := ctx.Value(linkKey{}).(*link); ok {
 		l.worker = true
 	}
-	return s.beyond(tuning.SocketsFull)
+	return s.beyond(constants.SocketsFull)
 }
 
 // SocketUse is how many connections of users and workers are open.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,10 +9,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"thornnotch/internal/intake"
+	"thornnotch/internal/constants"
 	"thornnotch/internal/leader"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/statestore"
+	"thornnotch/internal/userapi"
 )
 
 // NodeStatus is what one node says of itself.
@@ -113,13 +113,13 @@
 // protocol and costs nothing while nobody asks.
 func (n *Node) registerOperators(mux *http.ServeMux) {
 	mux.HandleFunc("GET /cluster", func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), tuning.UserPatience)
+		ctx, cancel := context.WithTimeout(r.Context(), constants.UserPatience)
 		defer cancel()
-		intake.WriteJSON(w, http.StatusOK, n.overview(ctx))
+		userapi.WriteJSON(w, http.StatusOK, n.overview(ctx))
 	})
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(&collector{n})
-	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: tuning.UserPatience}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: constants.UserPatience}))
 }
 
 // collector gathers metrics when they are asked for. Their number is bounded
@@ -160,7 +160,7 @@
 		}
 		ch <- prometheus.MustNewConstMetric(desc(name, help, names...), prometheus.CounterValue, v, labels...)
 	}
-	for _, class := range ledger.Classes {
+	for _, class := range statestore.Classes {
 		d := c.n.store.Budget.Drawn(class)
 		count("state_requests_total", "Requests to the state service.", float64(d.Requests), class.String())
 		count("state_writes_total", "Changes asked of the state service.", float64(d.Writes), class.String())
@@ -170,7 +170,7 @@
 	if l == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.MeshTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), constants.MeshTimeout)
 	defer cancel()
 	st, ok := l.Status(ctx)
 	if !ok {
--- a/internal/mesh/mesh.go
+++ b/internal/peers/peers.go
@@ -1,7 +1,7 @@
-// Package mesh is what the nodes tell one another, over net/rpc. A node that
+// Package peers is what the nodes tell one another, over net/rpc. A node that
 // can't be reached proves nothing. Safety rests on it in one place alone: on what
 // nodes vouch for while the state service does not answer.
-package mesh
+package peers
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // ProgressArgs asks how far jobs are.
@@ -87,7 +87,7 @@
 
 // Progress answers another node.
 func (s *service) Progress(args ProgressArgs, reply *ProgressReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.MeshTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), constants.MeshTimeout)
 	defer cancel()
 	reply.Jobs = s.src.Progress(ctx, args.Jobs)
 	return nil
@@ -107,7 +107,7 @@
 
 // Relay answers another node.
 func (s *service) Relay(args RelayArgs, reply *RelayReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.RelayTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), constants.RelayTimeout)
 	defer cancel()
 	*reply = s.src.Relay(ctx, args)
 	return nil
@@ -115,7 +115,7 @@
 
 // Status answers another node.
 func (s *service) Status(_ StatusArgs, reply *StatusReply) (err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.MeshTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), constants.MeshTimeout)
 	defer cancel()
 	reply.JSON, err = s.src.Status(ctx)
 	return err
@@ -123,7 +123,7 @@
 
 // Formats answers another node.
 func (s *service) Formats(_ FormatsArgs, reply *FormatsReply) error {
-	reply.LogRing = tuning.LogRingLarge
+	reply.LogRing = constants.LogRingLarge
 	return nil
 }
 
@@ -157,7 +157,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return err
 			}
-			time.Sleep(tuning.BackoffMin)
+			time.Sleep(constants.BackoffMin)
 			continue
 		}
 		mu.Lock()
@@ -269,7 +269,7 @@
 // Progress asks a node how far jobs are.
 func (p *Peers) Progress(ctx context.Context, label string, jobs []string) (map[string]Count, error) {
 	reply := new(ProgressReply)
-	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Progress", ProgressArgs{jobs}, reply); err != nil {
+	if err := p.call(ctx, constants.MeshTimeout, label, "Mesh.Progress", ProgressArgs{jobs}, reply); err != nil {
 		return nil, err
 	}
 	return reply.Jobs, nil
@@ -278,7 +278,7 @@
 // Status asks a node for its state.
 func (p *Peers) Status(ctx context.Context, label string) ([]byte, error) {
 	reply := new(StatusReply)
-	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Status", StatusArgs{}, reply); err != nil {
+	if err := p.call(ctx, constants.MeshTimeout, label, "Mesh.Status", StatusArgs{}, reply); err != nil {
 		return nil, err
 	}
 	return reply.JSON, nil
@@ -287,7 +287,7 @@
 // Health asks a node whether the state service answers it.
 func (p *Peers) Health(ctx context.Context, label string) (bool, error) {
 	reply := new(HealthReply)
-	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Health", HealthArgs{}, reply); err != nil {
+	if err := p.call(ctx, constants.MeshTimeout, label, "Mesh.Health", HealthArgs{}, reply); err != nil {
 		return false, err
 	}
 	return reply.OK, nil
@@ -298,7 +298,7 @@
 	reply := new(VouchReply)
 	// Rounded up: never less than was asked for.
 	args := VouchArgs{SpanMS: span.Milliseconds() + 1}
-	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Vouch", args, reply); err != nil {
+	if err := p.call(ctx, constants.MeshTimeout, label, "Mesh.Vouch", args, reply); err != nil {
 		return nil, false
 	}
 	return reply.Cancelled, reply.OK
@@ -307,7 +307,7 @@
 // Formats asks which stored formats a node's version reads.
 func (p *Peers) Formats(ctx context.Context, label string) (FormatsReply, error) {
 	reply := new(FormatsReply)
-	if err := p.call(ctx, tuning.MeshTimeout, label, "Mesh.Formats", FormatsArgs{}, reply); err != nil {
+	if err := p.call(ctx, constants.MeshTimeout, label, "Mesh.Formats", FormatsArgs{}, reply); err != nil {
 		return FormatsReply{}, err
 	}
 	return *reply, nil
@@ -316,7 +316,7 @@
 // Relay has a node serve a user's request.
 func (p *Peers) Relay(ctx context.Context, label string, req RelayArgs) (RelayReply, error) {
 	reply := new(RelayReply)
-	if err := p.call(ctx, tuning.RelayTimeout, label, "Mesh.Relay", req, reply); err != nil {
+	if err := p.call(ctx, constants.RelayTimeout, label, "Mesh.Relay", req, reply); err != nil {
 		return RelayReply{}, err
 	}
 	return *reply, nil
--- a/internal/mesh/mesh_test.go
+++ b/internal/peers/peers_test.go
@@ -1,4 +1,4 @@
-package mesh
+package peers
 
 import (
 	"context"
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -6,10 +6,10 @@
 )
 
 func (p *pass) gang(j *Job) {
-	rigs := p.gangRigs(j)
+	machines := p.gangMachines(j)
 	p.unpromise(j)
-	if rigs != nil {
-		for i, r := range rigs {
+	if machines != nil {
+		for i, r := range machines {
 			p.put(j, j.Waiting[i], r)
 		}
 		return
@@ -28,15 +28,15 @@
 	return p.allows(j, Need(j.Spec).Times(len(j.Waiting)))
 }
 
-// gangRigs finds machines for all waiting tasks, or none.
-func (p *pass) gangRigs(j *Job) []*Rig {
+// gangMachines finds machines for all waiting tasks, or none.
+func (p *pass) gangMachines(j *Job) []*Machine {
 	if !p.gangWithinLimit(j) {
 		return nil
 	}
 	need := Need(j.Spec)
 	type seat struct {
-		rig   *Rig
-		score float64
+		machine *Machine
+		score   float64
 	}
 	byZone := make(map[string][]seat)
 	var zones []string
@@ -60,7 +60,7 @@
 	}
 	// A gang moves when its last image is there, so a choice of machines is
 	// as good as its worst.
-	pick := func(seats []seat, cap int) ([]*Rig, float64) {
+	pick := func(seats []seat, cap int) ([]*Machine, float64) {
 		slices.SortStableFunc(seats, func(a, b seat) int { return cmp.Compare(a.score, b.score) })
 		// Tasks that already have their place count too: a gang that lost one
 		// while it waited gets a replacement.
@@ -68,17 +68,17 @@
 		for z, n := range j.Zones {
 			per[z] = n
 		}
-		var out []*Rig
+		var out []*Machine
 		worst := 0.0
 		for _, s := range seats {
 			if len(out) == len(j.Waiting) {
 				break
 			}
-			if per[s.rig.Zone] >= cap {
+			if per[s.machine.Zone] >= cap {
 				continue
 			}
-			per[s.rig.Zone]++
-			out = append(out, s.rig)
+			per[s.machine.Zone]++
+			out = append(out, s.machine)
 			worst = s.score
 		}
 		if len(out) < len(j.Waiting) {
@@ -87,20 +87,20 @@
 		return out, worst
 	}
 	if !j.Spec.SamePlace {
-		rigs, _ := pick(all, ZoneCap(j.Spec))
-		return rigs
+		machines, _ := pick(all, ZoneCap(j.Spec))
+		return machines
 	}
 	if j.Spec.Pieces > ZoneCap(j.Spec) {
 		return nil
 	}
-	var best []*Rig
+	var best []*Machine
 	bestScore := 0.0
 	for _, z := range zones {
 		if !zoneAllows(j, z) {
 			continue
 		}
-		if rigs, s := pick(byZone[z], j.Spec.Pieces); rigs != nil && (best == nil || s < bestScore) {
-			best, bestScore = rigs, s
+		if machines, s := pick(byZone[z], j.Spec.Pieces); machines != nil && (best == nil || s < bestScore) {
+			best, bestScore = machines, s
 		}
 	}
 	return best
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -11,8 +11,8 @@
 
 // heldOn is a hold with its machine.
 type heldOn struct {
-	rig  *Rig
-	held Held
+	machine *Machine
+	held    Held
 }
 
 // givesWay tells whether a hold gives way to the job: its pipeline's own, and
@@ -105,7 +105,7 @@
 // unhold takes a hold off its machine and off its team's use.
 func (p *pass) unhold(h heldOn) {
 	p.yieldsTo = nil
-	r, of := h.rig, h.held.Pipeline
+	r, of := h.machine, h.held.Pipeline
 	for i, k := range r.Held {
 		if k == h.held {
 			r.Held = append(append([]Held(nil), r.Held[:i]...), r.Held[i+1:]...)
@@ -124,7 +124,7 @@
 // release ends a hold for good.
 func (p *pass) release(h heldOn) {
 	p.unhold(h)
-	p.plan.Released = append(p.plan.Released, Release{h.rig, h.held})
+	p.plan.Released = append(p.plan.Released, Release{h.machine, h.held})
 }
 
 // releaseUseless ends the holds that no job of their pipeline can use: all that
@@ -223,13 +223,13 @@
 func (p *pass) stopOwn(j *Job, extra Room) (enough bool) {
 	t := p.Teams[j.Spec.Owner]
 	type victim struct {
-		rig  *Rig
-		slot Slot
-		cost float64
+		machine *Machine
+		slot    Slot
+		cost    float64
 	}
 	var list []victim
 	sum := Room{}
-	for _, r := range p.Rigs {
+	for _, r := range p.Machines {
 		if !r.stoppable || r.lowest >= j.Priority {
 			continue
 		}
@@ -254,14 +254,14 @@
 		if t.Allows(extra) {
 			break
 		}
-		p.stop(j, v.rig, v.slot)
+		p.stop(j, v.machine, v.slot)
 		extra = extra.Sub(v.slot.Room)
 	}
 	return true
 }
 
 // stop has a task stopped for a job.
-func (p *pass) stop(j *Job, r *Rig, s Slot) {
+func (p *pass) stop(j *Job, r *Machine, s Slot) {
 	p.plan.Evicts = append(p.plan.Evicts, Evict{r, s, j})
 	for i := range r.Slots {
 		if r.Slots[i].Try == s.Try && r.Slots[i].Index == s.Index && r.Slots[i].Job == s.Job {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // Decide runs one pass over the world. It changes the views of machines that
@@ -15,12 +15,12 @@
 	p := &pass{World: w, plan: &Plan{}, ending: make(map[string]Room), holds: make(map[string][]heldOn), shortOf: make(map[string]bool), inTime: make(map[ownerAt]Room), promises: make(map[string][]promise),
 		able: make(map[standing]int), outside: make(map[string]bool), bits: make(map[standing]uint64)}
 	var running []*Job // whose tasks may be stopped, each once
-	byName := func(a, b *Rig) int { return strings.Compare(a.Name, b.Name) }
-	if !slices.IsSortedFunc(w.Rigs, byName) {
-		slices.SortFunc(w.Rigs, byName)
+	byName := func(a, b *Machine) int { return strings.Compare(a.Name, b.Name) }
+	if !slices.IsSortedFunc(w.Machines, byName) {
+		slices.SortFunc(w.Machines, byName)
 	}
 	leanest := p.leanest()
-	for i, r := range w.Rigs {
+	for i, r := range w.Machines {
 		r.rank, r.claimed, r.roomy, r.standings = i, nil, false, 0
 		r.sum()
 		if r.Open && !r.Spot && len(r.Slots) == 0 {
@@ -100,7 +100,7 @@
 		}
 		if j.Spec.Shape == "gang" {
 			p.gang(j)
-		} else if done := p.sweep(j, 0, j.Passed.Seconds()+tuning.LocalDelay); done < len(j.Waiting) {
+		} else if done := p.sweep(j, 0, j.Passed.Seconds()+constants.LocalDelay); done < len(j.Waiting) {
 			again = append(again, rest{j, done})
 		}
 	}
@@ -140,7 +140,7 @@
 	ending map[string]Room
 	// roomy are the machines that can take any task at all: when most are
 	// full, no job need look at all of them.
-	roomy []*Rig
+	roomy []*Machine
 	// able are the tasks that run, by standing.
 	able map[standing]int
 	// holds are the holds, by team.
@@ -164,7 +164,7 @@
 	// them ends.
 	draining int
 	// claims are the machines kept from the last pass.
-	claims map[*Job][]*Rig
+	claims map[*Job][]*Machine
 	cands  candidates
 }
 
@@ -194,7 +194,7 @@
 }
 
 // free is the room that the job may use on the machine.
-func (r *Rig) free(j *Job) Room {
+func (r *Machine) free(j *Job) Room {
 	f := r.Total.Sub(r.used)
 	for _, h := range r.Held {
 		if h.blocks(j) {
@@ -205,7 +205,7 @@
 }
 
 // heldFor is the room that is kept on the machine for the job's pipeline.
-func (r *Rig) heldFor(j *Job) (sum Room, n int) {
+func (r *Machine) heldFor(j *Job) (sum Room, n int) {
 	for _, h := range r.Held {
 		if j.Owns(h.Pipeline) {
 			sum = sum.Add(h.Room)
@@ -216,15 +216,15 @@
 }
 
 // Allowed tells whether the job may use the machine at all.
-func Allowed(j *Job, r *Rig) bool {
+func Allowed(j *Job, r *Machine) bool {
 	s := j.Spec
 	if r.Spot && !s.Loaners || s.Hall != "" && s.Hall != r.Zone {
 		return false
 	}
-	if s.RigTypes == nil {
+	if s.MachineTypes == nil {
 		return true
 	}
-	for _, t := range s.RigTypes {
+	for _, t := range s.MachineTypes {
 		if t == r.Type {
 			return true
 		}
@@ -232,7 +232,7 @@
 	return false
 }
 
-func (p *pass) usable(j *Job, r *Rig) bool {
+func (p *pass) usable(j *Job, r *Machine) bool {
 	return r.Open && r.Seats > 0 && Allowed(j, r) && !j.Avoid[r.Name] && (r.claimed == nil || r.claimed == j || outranks(j, r.claimed))
 }
 
@@ -251,13 +251,13 @@
 // for a gang must not be filled again by the small tasks of whichever job has
 // less time left at the moment, or it never comes to be empty.
 func (p *pass) keepClaims() {
-	p.claims = make(map[*Job][]*Rig)
-	byName := func(name string) *Rig {
-		at, ok := slices.BinarySearchFunc(p.Rigs, name, func(r *Rig, name string) int { return strings.Compare(r.Name, name) })
+	p.claims = make(map[*Job][]*Machine)
+	byName := func(name string) *Machine {
+		at, ok := slices.BinarySearchFunc(p.Machines, name, func(r *Machine, name string) int { return strings.Compare(r.Name, name) })
 		if !ok {
 			return nil
 		}
-		return p.Rigs[at]
+		return p.Machines[at]
 	}
 	for _, j := range p.Jobs {
 		if j.Spec.Shape != "gang" || len(j.Waiting) == 0 || j.Blocked {
@@ -273,7 +273,7 @@
 }
 
 // delay estimates how long a task would wait for its image on the machine.
-func (r *Rig) delay(j *Job) float64 {
+func (r *Machine) delay(j *Job) float64 {
 	if left, ok := r.Cached[j.Spec.Bundle]; ok {
 		return left.Seconds()
 	}
@@ -284,32 +284,32 @@
 }
 
 // score ranks machines for a task; lower is better.
-func (p *pass) score(r *Rig, j *Job) float64 {
+func (p *pass) score(r *Machine, j *Job) float64 {
 	s := r.delay(j)
 	if _, n := r.heldFor(j); n > 0 {
-		s -= tuning.SpareEmpty
+		s -= constants.SpareEmpty
 	}
 	if j.Spec.Loaners && !r.Spot {
-		s += tuning.SpareOrdinary
+		s += constants.SpareOrdinary
 		if j.Spec.Shape != "gang" && r.used == (Room{}) && p.whole > 0 {
-			s += tuning.SpareWhole / float64(p.whole)
+			s += constants.SpareWhole / float64(p.whole)
 		}
 	}
 	if j.Spec.Shape != "gang" {
 		full := r.used.Share(r.Total)
 		if _, have := r.Cached[j.Spec.Bundle]; have || !r.Spot {
-			s += tuning.SparePart * (1 - full)
+			s += constants.SparePart * (1 - full)
 		} else {
 			// The image must be fetched anyway: on a machine that gangs can't
 			// use it had better come to one more machine than to few.
-			s += tuning.SpareEmpty * full
+			s += constants.SpareEmpty * full
 		}
 	}
 	return s
 }
 
 // put books one task on a machine.
-func (p *pass) put(j *Job, index int, r *Rig) {
+func (p *pass) put(j *Job, index int, r *Machine) {
 	need := Need(j.Spec)
 	if !r.Spot && r.used == (Room{}) {
 		p.whole--
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // mayEvict tells whether the job may stop a task. The protocol allows it for
@@ -53,10 +53,10 @@
 
 // option is a machine whose room could be made or kept for a job.
 type option struct {
-	rig    *Rig
-	victim []Slot
-	cost   float64
-	coming int // tasks that fit once what ends has ended
+	machine *Machine
+	victim  []Slot
+	cost    float64
+	coming  int // tasks that fit once what ends has ended
 }
 
 // makeRoom is called for a job that has n tasks without a place. It keeps
@@ -71,7 +71,7 @@
 	if !p.allows(j, need) || !gang && !mayStop {
 		return
 	}
-	if p.tries++; p.tries > tuning.RoomTries {
+	if p.tries++; p.tries > constants.RoomTries {
 		return
 	}
 	// Once as many machines drain as may, only what comes free by itself or by
@@ -84,7 +84,7 @@
 	oneZone := gang && j.Spec.SamePlace && n > 1
 	best := make(map[string][]option) // the n cheapest, by zone if it matters
 	var zones []string
-	for _, r := range p.Rigs {
+	for _, r := range p.Machines {
 		if !drains && !r.roomy && r.ending == (Room{}) && r.standings&stops == 0 && !p.thorough {
 			continue
 		}
@@ -178,7 +178,7 @@
 // drained tells whether so many machines more would be too many to drain at a
 // time.
 func (p *pass) drained(more int) bool {
-	return p.draining > 0 && float64(p.draining+more) > tuning.ClaimMost*float64(len(p.Rigs))
+	return p.draining > 0 && float64(p.draining+more) > constants.ClaimMost*float64(len(p.Machines))
 }
 
 // stops are the standings, as bits, whose tasks the job may stop.
@@ -194,9 +194,9 @@
 // option weighs one machine for a job that needs room, as long as it may cost
 // less than the worst that the job has already. Every gang that waits looks at
 // all machines, so nothing is reckoned or kept here that can't matter.
-func (p *pass) option(j *Job, r *Rig, need Room, n int, mayStop bool, stops uint64, worst float64) (option, bool) {
+func (p *pass) option(j *Job, r *Machine, need Room, n int, mayStop bool, stops uint64, worst float64) (option, bool) {
 	f := r.free(j).Add(r.ending)
-	o := option{rig: r, coming: f.Count(need, n)}
+	o := option{machine: r, coming: f.Count(need, n)}
 	if o.coming > 0 {
 		o.cost = r.delay(j)
 		return o, o.cost < worst
@@ -224,10 +224,10 @@
 					break
 				}
 				g = g.Add(s.Room)
-				cost += time.Duration(float64(s.Loss) * s.Room.Share(r.Total) * tuning.StopWeight)
+				cost += time.Duration(float64(s.Loss) * s.Room.Share(r.Total) * constants.StopWeight)
 				many++
 			}
-			o.cost = cost.Seconds() + r.delay(j)*need.Share(r.Total)*tuning.StopWeight
+			o.cost = cost.Seconds() + r.delay(j)*need.Share(r.Total)*constants.StopWeight
 			if o.cost >= worst {
 				return o, false
 			}
@@ -239,14 +239,14 @@
 	if j.Spec.Shape != "gang" {
 		return o, false
 	}
-	if 1e6+r.left.Seconds()-tuning.ClaimKept-tuning.ClaimKeptOverdue >= worst {
+	if 1e6+r.left.Seconds()-constants.ClaimKept-constants.ClaimKeptOverdue >= worst {
 		return o, false
 	}
 	o.cost = 1e6 + r.left.Seconds() + r.delay(j)
 	if j.Claims[r.Name] {
-		o.cost -= tuning.ClaimKept
+		o.cost -= constants.ClaimKept
 		if j.Overdue != NoLift {
-			o.cost -= tuning.ClaimKeptOverdue
+			o.cost -= constants.ClaimKeptOverdue
 		}
 	}
 	return o, o.cost < worst
@@ -255,16 +255,16 @@
 // prepare keeps a machine for a job and stops what must go.
 func (p *pass) prepare(j *Job, o option, gang bool) {
 	for _, s := range o.victim {
-		p.stop(j, o.rig, s)
+		p.stop(j, o.machine, s)
 	}
 	if gang || len(o.victim) > 0 {
-		o.rig.claimed = j
+		o.machine.claimed = j
 		// What is held here for lower work can't be used by it any more.
-		for _, h := range slices.Clone(o.rig.Held) {
+		for _, h := range slices.Clone(o.machine.Held) {
 			if !j.Owns(h.Pipeline) && !h.blocks(j) {
-				p.release(heldOn{o.rig, h})
+				p.release(heldOn{o.machine, h})
 			}
 		}
-		p.plan.Claims = append(p.plan.Claims, Claim{j, o.rig})
+		p.plan.Claims = append(p.plan.Claims, Claim{j, o.machine})
 	}
 }
--- a/internal/placement/sweep.go
+++ b/internal/placement/sweep.go
@@ -6,8 +6,8 @@
 
 // candidate is a machine that a sweep's next task could go to.
 type candidate struct {
-	rig   *Rig
-	score float64
+	machine *Machine
+	score   float64
 }
 
 // candidates is a heap, the best first.
@@ -18,7 +18,7 @@
 	if c[i].score != c[j].score {
 		return c[i].score < c[j].score
 	}
-	return c[i].rig.rank < c[j].rig.rank
+	return c[i].machine.rank < c[j].machine.rank
 }
 func (c candidates) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
 
@@ -34,7 +34,7 @@
 }
 
 // takes tells whether one more task of a sweep may go to the machine.
-func (p *pass) takes(j *Job, r *Rig, need Room) bool {
+func (p *pass) takes(j *Job, r *Machine, need Room) bool {
 	if j.Spec.Loaners && !r.Spot && r.used == (Room{}) && p.whole <= p.Spare {
 		// Whole ordinary machines are kept for gangs that can use no others.
 		return false
@@ -61,11 +61,11 @@
 		// A put changes the score of its own machine, and makes whole ones
 		// dearer: what comes to the top is looked at again.
 		for len(c) > 0 {
-			if !p.takes(j, c[0].rig, need) {
+			if !p.takes(j, c[0].machine, need) {
 				heap.Pop(&c)
 				continue
 			}
-			if s := p.score(c[0].rig, j); s > c[0].score {
+			if s := p.score(c[0].machine, j); s > c[0].score {
 				c[0].score = s
 				heap.Fix(&c, 0)
 				continue
@@ -75,8 +75,8 @@
 		if len(c) == 0 {
 			return i
 		}
-		p.put(j, j.Waiting[i], c[0].rig)
-		c[0].score = p.score(c[0].rig, j)
+		p.put(j, j.Waiting[i], c[0].machine)
+		c[0].score = p.score(c[0].machine, j)
 		heap.Fix(&c, 0)
 	}
 	return len(j.Waiting)
--- a/internal/market/cloud.go
+++ b/internal/provisioning/cloud.go
@@ -1,6 +1,6 @@
-// Package market deals with the cloud: the catalog, renting and returning
+// Package provisioning deals with the cloud: the catalog, renting and returning
 // machines, and the list of what is rented.
-package market
+package provisioning
 
 import (
 	"bytes"
@@ -16,12 +16,12 @@
 
 	"golang.org/x/time/rate"
 
-	"thornnotch/internal/intake"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/userapi"
 )
 
-// RigType is one kind of machine in the catalog.
-type RigType struct {
+// MachineType is one kind of machine in the catalog.
+type MachineType struct {
 	SKU          string   `json:"sku"`
 	VCPUs        float64  `json:"vcpus"`
 	Accelerators float64  `json:"accelerators"`
@@ -36,39 +36,39 @@
 
 // Catalog lists what can be rented.
 type Catalog struct {
-	RigTypes []RigType `json:"rigTypes"`
+	MachineTypes []MachineType `json:"rigTypes"`
 }
 
 // Type finds a type by name.
-func (c *Catalog) Type(sku string) (RigType, bool) {
+func (c *Catalog) Type(sku string) (MachineType, bool) {
 	if c != nil {
-		for _, t := range c.RigTypes {
+		for _, t := range c.MachineTypes {
 			if t.SKU == sku {
 				return t, true
 			}
 		}
 	}
-	return RigType{}, false
+	return MachineType{}, false
 }
 
 // Shapes is the catalog as intake needs it.
-func (c *Catalog) Shapes() []intake.MachineType {
+func (c *Catalog) Shapes() []userapi.MachineType {
 	if c == nil {
 		return nil
 	}
-	out := make([]intake.MachineType, 0, len(c.RigTypes))
-	for _, t := range c.RigTypes {
-		out = append(out, intake.MachineType{SKU: t.SKU, VCPUs: t.VCPUs, Accelerators: t.Accelerators, RAMGB: t.RAMGB, Halls: t.Halls})
+	out := make([]userapi.MachineType, 0, len(c.MachineTypes))
+	for _, t := range c.MachineTypes {
+		out = append(out, userapi.MachineType{SKU: t.SKU, VCPUs: t.VCPUs, Accelerators: t.Accelerators, RAMGB: t.RAMGB, Halls: t.Halls})
 	}
 	return out
 }
 
 // Check reports what is impossible in a catalog.
 func (c *Catalog) Check() error {
-	if len(c.RigTypes) == 0 {
+	if len(c.MachineTypes) == 0 {
 		return errors.New("catalog: names no machine type")
 	}
-	for _, t := range c.RigTypes {
+	for _, t := range c.MachineTypes {
 		if t.SKU == "" || !(t.VCPUs > 0) || t.Accelerators < 0 || !(t.RAMGB > 0) || len(t.Halls) == 0 {
 			return fmt.Errorf("catalog: impossible machine type %q", t.SKU)
 		}
@@ -78,13 +78,13 @@
 
 // Host is a rented machine as the cloud lists it.
 type Host struct {
-	NameID   string  `json:"nameId"`
-	Endpoint string  `json:"endpoint"`
-	RigType  string  `json:"rigType"`
-	Hall     string  `json:"hall"`
-	Loaners  bool    `json:"loaners"`
-	Status   string  `json:"status"`
-	HeldS    float64 `json:"heldS"`
+	NameID      string  `json:"nameId"`
+	Endpoint    string  `json:"endpoint"`
+	MachineType string  `json:"rigType"`
+	Hall        string  `json:"hall"`
+	Loaners     bool    `json:"loaners"`
+	Status      string  `json:"status"`
+	HeldS       float64 `json:"heldS"`
 }
 
 // Errors that callers tell apart.
@@ -110,7 +110,7 @@
 	return &Cloud{
 		base: "http://" + addr,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxConnsPerHost: tuning.CloudConns, MaxIdleConnsPerHost: tuning.CloudIdleConns, DisableCompression: true,
+			DialContext: dial, MaxConnsPerHost: constants.CloudConns, MaxIdleConnsPerHost: constants.CloudIdleConns, DisableCompression: true,
 		}},
 		tokens: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
 	}
@@ -123,7 +123,7 @@
 func (c *Cloud) SetRate(rps float64) { c.tokens.SetLimit(rate.Limit(rps)) }
 
 func (c *Cloud) call(ctx context.Context, method, path string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, tuning.CloudTimeout)
+	ctx, cancel := context.WithTimeout(ctx, constants.CloudTimeout)
 	defer cancel()
 	if err := c.tokens.Wait(ctx); err != nil {
 		return fmt.Errorf("%s %s: %w: no token: %w", method, path, ErrRefused, err)
@@ -180,29 +180,29 @@
 
 // Request asks for machines. Hire must never have been used for another one.
 type Request struct {
-	Hire    string `json:"hire"`
-	RigType string `json:"rigType"`
-	Hall    string `json:"hall"`
-	Loaners bool   `json:"loaners"`
-	Count   int    `json:"count"`
+	Hire        string `json:"hire"`
+	MachineType string `json:"rigType"`
+	Hall        string `json:"hall"`
+	Loaners     bool   `json:"loaners"`
+	Count       int    `json:"count"`
 }
 
 // Rent asks for machines and returns the names of those rented.
 func (c *Cloud) Rent(ctx context.Context, r Request) ([]string, error) {
 	var out struct {
-		Rigs []string `json:"rigs"`
+		Machines []string `json:"rigs"`
 	}
 	if err := c.call(ctx, http.MethodPost, "/hosts", r, &out); err != nil {
 		return nil, err
 	}
-	return out.Rigs, nil
+	return out.Machines, nil
 }
 
 // Return gives machines back. Once it succeeds, they and all that was on
 // them are gone.
 func (c *Cloud) Return(ctx context.Context, names []string) error {
 	in := struct {
-		Rigs []string `json:"rigs"`
+		Machines []string `json:"rigs"`
 	}{names}
 	return c.call(ctx, http.MethodPost, "/hosts/return", in, nil)
 }
@@ -211,19 +211,19 @@
 // where the following page begins, empty after the last one. The list lags, and may
 // be older than the last.
 func (c *Cloud) List(ctx context.Context, from string) (hosts []Host, next string, err error) {
-	q := url.Values{"limit": {strconv.Itoa(tuning.HostPage)}}
+	q := url.Values{"limit": {strconv.Itoa(constants.HostPage)}}
 	if from != "" {
 		q.Set("from", from)
 	}
 	var page struct {
-		Rigs    []Host `json:"rigs"`
-		HasNext bool   `json:"hasNext"`
+		Machines []Host `json:"rigs"`
+		HasNext  bool   `json:"hasNext"`
 	}
 	if err := c.call(ctx, http.MethodGet, "/hosts?"+q.Encode(), nil, &page); err != nil {
 		return nil, "", err
 	}
-	if page.HasNext && len(page.Rigs) > 0 {
-		next = page.Rigs[len(page.Rigs)-1].NameID
+	if page.HasNext && len(page.Machines) > 0 {
+		next = page.Machines[len(page.Machines)-1].NameID
 	}
-	return page.Rigs, next, nil
+	return page.Machines, next, nil
 }
--- a/internal/market/main_test.go
+++ b/internal/provisioning/main_test.go
@@ -1,4 +1,4 @@
-package market
+package provisioning
 
 import (
 	"os"
--- a/internal/market/plan.go
+++ b/internal/provisioning/plan.go
@@ -1,12 +1,12 @@
-package market
+package provisioning
 
 import (
 	"math"
 	"sort"
 	"time"
 
+	"thornnotch/internal/constants"
 	"thornnotch/internal/placement"
-	"thornnotch/internal/tuning"
 )
 
 // Pool is where machines come from: a type, in a zone, of a kind.
@@ -48,11 +48,11 @@
 
 // Targets tells how many machines are wanted of each kind: ordinary ones for
 // what can't run elsewhere, spot ones for the rest.
-func Targets(v View, t RigType) (ordinary, spot float64) { return v.fill(v.Demand, t) }
+func Targets(v View, t MachineType) (ordinary, spot float64) { return v.fill(v.Demand, t) }
 
 // fill tells how many machines the demand would fill, at most as much as the
 // teams' limits let run.
-func (v View) fill(demand []Demand, t RigType) (ordinary, spot float64) {
+func (v View) fill(demand []Demand, t MachineType) (ordinary, spot float64) {
 	v.runnable(demand, t, func(d Demand, n, per int) {
 		if f := float64(n) / float64(per); d.Spot {
 			spot += f
@@ -65,7 +65,7 @@
 
 // runnable tells, for each demand, how many of its tasks the team's limit lets run
 // at once beside those before it, and how many a machine of the type takes.
-func (v View) runnable(demand []Demand, t RigType, tell func(d Demand, n, per int)) {
+func (v View) runnable(demand []Demand, t MachineType, tell func(d Demand, n, per int)) {
 	used := make(map[string]placement.Room)
 	max := make(map[string]placement.Room)
 	for _, l := range v.Limits {
@@ -89,7 +89,7 @@
 		}
 		used[d.Owner] = used[d.Owner].Add(d.Need.Times(n))
 		// A task that fills most of a machine takes all of it.
-		if per := (placement.Room{VCPUs: t.VCPUs, GPUs: t.Accelerators, RAM: t.RAMGB}).Count(d.Need, tuning.MaxPieces); per >= 1 {
+		if per := (placement.Room{VCPUs: t.VCPUs, GPUs: t.Accelerators, RAM: t.RAMGB}).Count(d.Need, constants.MaxPieces); per >= 1 {
 			tell(d, n, per)
 		}
 	}
@@ -118,11 +118,11 @@
 // for a while nothing need stand ready. Work that spot machines could do is worth
 // an ordinary one only in part: the dearer it is, the longer that work had
 // better wait for its turn.
-func Wants(v View, t RigType, spare float64) Want {
+func Wants(v View, t MachineType, spare float64) Want {
 	ordinary, spot := Targets(v, t)
 	part := 1.0
 	if t.Rate > 0 && t.MarketPrice > 0 {
-		part = min(1, tuning.OverflowWorth*t.MarketPrice/t.Rate)
+		part = min(1, constants.OverflowWorth*t.MarketPrice/t.Rate)
 	}
 	newOrdinary, newSpot := v.fill(v.Recent, t)
 	ahead := 0.0
@@ -161,7 +161,7 @@
 // floors tells them by zone: for jobs that may run nowhere else, and for gangs
 // that must be in one zone, whichever it is. Without this a job that is bound to
 // a zone waits for ever once there are enough machines in the others.
-func (v View) floors(t RigType) map[string]floor {
+func (v View) floors(t MachineType) map[string]floor {
 	out := make(map[string]floor, len(t.Halls))
 	type part struct{ ordinary, spot float64 }
 	bound := make(map[string]part)
@@ -213,17 +213,17 @@
 }
 
 // below picks a request for a zone that has less than its floor.
-func (v View) below(t RigType) (Request, bool) {
+func (v View) below(t MachineType) (Request, bool) {
 	floors := v.floors(t)
 	for _, z := range t.Halls {
 		f := floors[z]
 		ordinary, spot := v.Have[Pool{t.SKU, z, false}], v.Have[Pool{t.SKU, z, true}]
 		canOrdinary, canSpot := !v.Refused[Pool{t.SKU, z, false}], !v.Refused[Pool{t.SKU, z, true}]
 		if n := f.ordinary - ordinary; n > 0 && canOrdinary {
-			return Request{RigType: t.SKU, Hall: z, Count: min(n, tuning.RentBatch)}, true
+			return Request{MachineType: t.SKU, Hall: z, Count: min(n, constants.RentBatch)}, true
 		}
 		if n := f.all - max(ordinary, f.ordinary) - spot; n > 0 && (canSpot || canOrdinary) {
-			return Request{RigType: t.SKU, Hall: z, Loaners: canSpot, Count: min(n, tuning.RentBatch)}, true
+			return Request{MachineType: t.SKU, Hall: z, Loaners: canSpot, Count: min(n, constants.RentBatch)}, true
 		}
 	}
 	return Request{}, false
@@ -232,7 +232,7 @@
 // Next picks the next request, if more machines are wanted than there are.
 // What spot machines can't be had for is rented as ordinary ones.
 func Next(v View, spare float64) (Request, bool) {
-	types := append([]RigType(nil), v.Catalog.RigTypes...)
+	types := append([]MachineType(nil), v.Catalog.MachineTypes...)
 	sort.Slice(types, func(i, j int) bool { return types[i].SKU < types[j].SKU })
 	for _, t := range types {
 		if r, ok := v.below(t); ok {
@@ -242,17 +242,17 @@
 		ordinary, spot := v.have(t.SKU)
 		if n := int(w.Ordinary) - ordinary; n > 0 {
 			if zone, ok := pickZone(v, t, false); ok {
-				return Request{RigType: t.SKU, Hall: zone, Count: min(n, tuning.RentBatch)}, true
+				return Request{MachineType: t.SKU, Hall: zone, Count: min(n, constants.RentBatch)}, true
 			}
 		}
 		if n := int(w.All) - max(ordinary, int(w.Ordinary)) - spot; n > 0 {
 			if zone, ok := pickZone(v, t, true); ok {
-				return Request{RigType: t.SKU, Hall: zone, Loaners: true, Count: min(n, tuning.RentBatch)}, true
+				return Request{MachineType: t.SKU, Hall: zone, Loaners: true, Count: min(n, constants.RentBatch)}, true
 			}
 		}
 		if n := int(w.Ordinary) + w.overflow(spot) - ordinary; n > 0 {
 			if zone, ok := pickZone(v, t, false); ok {
-				return Request{RigType: t.SKU, Hall: zone, Count: min(n, tuning.RentBatch)}, true
+				return Request{MachineType: t.SKU, Hall: zone, Count: min(n, constants.RentBatch)}, true
 			}
 		}
 	}
@@ -362,7 +362,7 @@
 
 // pickZone takes the zone with the fewest machines of the type, so that the
 // loss of one hurts least.
-func pickZone(v View, t RigType, spot bool) (string, bool) {
+func pickZone(v View, t MachineType, spot bool) (string, bool) {
 	best, found, least := "", false, 0
 	for _, z := range t.Halls {
 		if v.Refused[Pool{t.SKU, z, spot}] {
--- a/internal/reserve/book.go
+++ b/internal/reservations/book.go
@@ -1,6 +1,6 @@
-// Package reserve is speculative slot reservation: it keeps the room of a
+// Package reservations is speculative slot reservation: it keeps the room of a
 // pipeline's finished tasks for the pipeline's next job.
-package reserve
+package reservations
 
 import (
 	"math"
@@ -19,7 +19,7 @@
 
 // Hold is room on one machine kept for a pipeline.
 type Hold struct {
-	Rig        string
+	Machine    string
 	Pipeline   placement.Pipeline
 	Upstream   string
 	Downstream string
@@ -43,7 +43,7 @@
 	Pieces  int       // m
 	Started time.Time // when the upstream's first task started
 	Ran     time.Duration
-	Rig     string
+	Machine string
 	// Next are the jobs after this one that still wait to start, the first one to
 	// be served first: along edges that users name there may be several.
 	Next []Downstream
@@ -114,7 +114,7 @@
 		case m > n && s.released < m-n:
 			s.released++
 		case s.expires.After(f.Now):
-			held = b.holdFor(s, f.Job, f.Rig, m, f.Fits)
+			held = b.holdFor(s, f.Job, f.Machine, m, f.Fits)
 		}
 		if m < n && !s.asked && float64(s.finished) > b.opt.Threshold*float64(m) {
 			s.asked, s.extra = true, n-m
@@ -141,10 +141,10 @@
 // own tasks take; all else would only stand empty and use up the team's limit, as on
 // Peakdale, where one gang of 24 had 237 machines held for it and could not start for
 // that.
-func (b *Book) holdFor(s *stage, upstream, rig string, m int, fits func(Downstream) bool) bool {
+func (b *Book) holdFor(s *stage, upstream, machine string, m int, fits func(Downstream) bool) bool {
 	for _, d := range s.next {
 		if b.counts[d.Job] < d.tasks(m) && fits(d) {
-			b.add(Hold{rig, d.Pipeline, upstream, d.Job, d.Priority, d.Need, s.expires})
+			b.add(Hold{machine, d.Pipeline, upstream, d.Job, d.Priority, d.Need, s.expires})
 			return true
 		}
 	}
@@ -154,7 +154,7 @@
 // Freed offers room that came free elsewhere to the stages that hold more
 // than their own; fits tells whether a task of the job can use it. The highest
 // priority goes first.
-func (b *Book) Freed(rig string, fits func(Downstream) bool, now time.Time) bool {
+func (b *Book) Freed(machine string, fits func(Downstream) bool, now time.Time) bool {
 	var names []string
 	for name, s := range b.stages {
 		if s.extra > 0 {
@@ -174,7 +174,7 @@
 	})
 	for _, name := range names {
 		// An unknown n counts as m, and then nothing more is held from elsewhere.
-		if s := b.stages[name]; b.holdFor(s, name, rig, 0, fits) {
+		if s := b.stages[name]; b.holdFor(s, name, machine, 0, fits) {
 			s.extra--
 			return true
 		}
@@ -183,7 +183,7 @@
 }
 
 func (b *Book) add(h Hold) {
-	b.holds[h.Rig] = append(b.holds[h.Rig], h)
+	b.holds[h.Machine] = append(b.holds[h.Machine], h)
 	b.counts[h.Downstream]++
 }
 
@@ -202,7 +202,7 @@
 }
 
 // On lists the holds on a machine.
-func (b *Book) On(rig string) []Hold { return b.holds[rig] }
+func (b *Book) On(machine string) []Hold { return b.holds[machine] }
 
 // All lists every hold, by machine.
 func (b *Book) All() []Hold {
@@ -210,15 +210,15 @@
 	for _, hs := range b.holds {
 		out = append(out, hs...)
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].Rig < out[j].Rig })
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Machine < out[j].Machine })
 	return out
 }
 
 // Use takes up one hold on the machine for a task that is its pipeline's own.
-func (b *Book) Use(rig string, owns func(placement.Pipeline) bool) bool {
-	for i, h := range b.holds[rig] {
+func (b *Book) Use(machine string, owns func(placement.Pipeline) bool) bool {
+	for i, h := range b.holds[machine] {
 		if owns(h.Pipeline) {
-			b.remove(rig, i)
+			b.remove(machine, i)
 			return true
 		}
 	}
@@ -227,40 +227,40 @@
 
 // Override removes holds on a machine, lowest priority first, until the room
 // kept there is no more than fits.
-func (b *Book) Override(rig string, fits placement.Room) (changed bool) {
-	for len(b.holds[rig]) > 0 {
+func (b *Book) Override(machine string, fits placement.Room) (changed bool) {
+	for len(b.holds[machine]) > 0 {
 		var sum placement.Room
 		low := 0
-		for i, h := range b.holds[rig] {
+		for i, h := range b.holds[machine] {
 			sum = sum.Add(h.Room)
-			if h.Priority <= b.holds[rig][low].Priority {
+			if h.Priority <= b.holds[machine][low].Priority {
 				low = i
 			}
 		}
 		if fits.Fits(sum) {
 			break
 		}
-		b.remove(rig, low)
+		b.remove(machine, low)
 		changed = true
 	}
 	return changed
 }
 
-func (b *Book) remove(rig string, i int) {
-	hs := b.holds[rig]
+func (b *Book) remove(machine string, i int) {
+	hs := b.holds[machine]
 	b.uncount(hs[i])
 	hs = append(append([]Hold(nil), hs[:i]...), hs[i+1:]...)
 	if len(hs) == 0 {
-		delete(b.holds, rig)
+		delete(b.holds, machine)
 		return
 	}
-	b.holds[rig] = hs
+	b.holds[machine] = hs
 }
 
 // Lapse removes what has expired or whose downstream job no longer waits, and
 // names the machines that changed.
 func (b *Book) Lapse(now time.Time, waits func(job string) bool) (changed []string) {
-	for rig, hs := range b.holds {
+	for machine, hs := range b.holds {
 		kept := hs[:0:0]
 		for _, h := range hs {
 			if h.Expires.After(now) && waits(h.Downstream) {
@@ -272,11 +272,11 @@
 		if len(kept) == len(hs) {
 			continue
 		}
-		changed = append(changed, rig)
+		changed = append(changed, machine)
 		if len(kept) == 0 {
-			delete(b.holds, rig)
+			delete(b.holds, machine)
 		} else {
-			b.holds[rig] = kept
+			b.holds[machine] = kept
 		}
 	}
 	for name, s := range b.stages {
@@ -289,9 +289,9 @@
 }
 
 // Drop forgets the holds of a machine that is leaving.
-func (b *Book) Drop(rig string) {
-	for _, h := range b.holds[rig] {
+func (b *Book) Drop(machine string) {
+	for _, h := range b.holds[machine] {
 		b.uncount(h)
 	}
-	delete(b.holds, rig)
+	delete(b.holds, machine)
 }
--- a/internal/reserve/main_test.go
+++ b/internal/reservations/main_test.go
@@ -1,4 +1,4 @@
-package reserve
+package reservations
 
 import (
 	"os"
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -29,21 +29,21 @@
 
 // State is a state service.
 type State struct {
-	mu      sync.Mutex
-	epoch   uint64
-	items   map[string]item
-	log     []change
-	tenures map[uint64]*tenure
-	next    uint64
-	down    bool
-	changed chan struct{} // closed and renewed with every change
-	closed  bool
-	refused map[string]bool
-	fate    func(caller string, writes int) Fate
-	counts  StateCounts
-	limits  StateLimits
-	tokens  float64
-	filled  time.Time
+	mu         sync.Mutex
+	epoch      uint64
+	items      map[string]item
+	log        []change
+	tenures    map[uint64]*tenure
+	next       uint64
+	down       bool
+	changed    chan struct{} // closed and renewed with every change
+	closed     bool
+	refused    map[string]bool
+	fate func(caller string, writes int) Fate
+	counts     StateCounts
+	limits     StateLimits
+	tokens     float64
+	filled     time.Time
 }
 
 // Fate is what becomes of a transaction that would be answered in time.
@@ -277,13 +277,13 @@
 		s.tenures[id] = &tenure{ttl, time.AfterFunc(ttl, func() { s.end(id) })}
 		reply(w, http.StatusOK, fields{"tenure": id})
 	case strings.HasPrefix(r.URL.Path, "/holds/"):
-		name, touch := strings.CutSuffix(strings.TrimPrefix(r.URL.Path, "/holds/"), "/touch")
+		name, renews := strings.CutSuffix(strings.TrimPrefix(r.URL.Path, "/holds/"), "/touch")
 		id, _ := strconv.ParseUint(name, 10, 64)
 		t, ok := s.tenures[id]
 		switch {
 		case !ok:
 			reply(w, http.StatusNotFound, fields{"error": "no such lease"})
-		case touch:
+		case renews:
 			t.timer.Reset(t.ttl)
 			reply(w, http.StatusOK, fields{"tenure": id})
 		default:
--- a/internal/ledger/budget.go
+++ b/internal/statestore/budget.go
@@ -1,4 +1,4 @@
-package ledger
+package statestore
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // Class is the importance of a call. When tokens run short, the less
@@ -27,17 +27,17 @@
 func (c Class) reserve() float64 {
 	switch c {
 	case Lease:
-		return tuning.ReserveLease
+		return constants.ReserveLease
 	case Cancel:
-		return tuning.ReserveCancel
+		return constants.ReserveCancel
 	case Submit:
-		return tuning.ReserveSubmit
+		return constants.ReserveSubmit
 	case Record:
-		return tuning.ReserveRecord
+		return constants.ReserveRecord
 	case Poll:
-		return tuning.ReservePoll
+		return constants.ReservePoll
 	default:
-		return tuning.ReserveHold
+		return constants.ReserveHold
 	}
 }
 
@@ -119,7 +119,7 @@
 		if began.IsZero() {
 			began = time.Now()
 		}
-		t := time.NewTimer(tuning.BudgetPoll)
+		t := time.NewTimer(constants.BudgetPoll)
 		select {
 		case <-ctx.Done():
 			t.Stop()
--- a/internal/ledger/budget_test.go
+++ b/internal/statestore/budget_test.go
@@ -1,4 +1,4 @@
-package ledger
+package statestore
 
 import (
 	"context"
--- a/internal/ledger/client.go
+++ b/internal/statestore/client.go
@@ -1,6 +1,6 @@
-// Package ledger talks to the state service, the only place where the nodes
+// Package statestore talks to the state service, the only place where the nodes
 // can keep state, and rations the calls to it.
-package ledger
+package statestore
 
 import (
 	"bytes"
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // Errors that callers tell apart.
@@ -123,19 +123,19 @@
 func (p *patience) next() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.wait, tuning.TxnTimeout)
+	return max(p.wait, constants.TxnTimeout)
 }
 
 func (p *patience) lost() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wait = tuning.StateTimeout
+	p.wait = constants.StateTimeout
 }
 
 func (p *patience) answered(after time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wait = min(max(p.wait/2, tuning.TxnSlack*after), tuning.StateTimeout)
+	p.wait = min(max(p.wait/2, constants.TxnSlack*after), constants.StateTimeout)
 }
 
 // Answers tells when the service last answered this node usefully.
@@ -166,7 +166,7 @@
 			DisableCompression:  true,
 		}}
 	}
-	return &Client{base: "http://" + addr, http: pool(tuning.StateConns), lease: pool(tuning.StateLeaseConns), Budget: budget}
+	return &Client{base: "http://" + addr, http: pool(constants.StateConns), lease: pool(constants.StateLeaseConns), Budget: budget}
 }
 
 // call sends one request and decodes a 200 into out. Other statuses come
@@ -235,7 +235,7 @@
 		return Row{}, false, fmt.Errorf("get %s: %w: %w", key, ErrUnavailable, err)
 	}
 	path := "/store/" + key
-	status, raw, err := c.call(ctx, class, tuning.StateTimeout, http.MethodGet, path, nil, &row)
+	status, raw, err := c.call(ctx, class, constants.StateTimeout, http.MethodGet, path, nil, &row)
 	switch {
 	case err != nil:
 		return Row{}, false, err
@@ -255,7 +255,7 @@
 		if err := c.Budget.Take(ctx, class, 0); err != nil {
 			return nil, 0, fmt.Errorf("list %s: %w: %w", prefix, ErrUnavailable, err)
 		}
-		q := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(tuning.ListPage)}}
+		q := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(constants.ListPage)}}
 		if from != "" {
 			q.Set("from", from)
 		}
@@ -265,7 +265,7 @@
 			HasNext bool   `json:"hasNext"`
 			Epoch   uint64 `json:"epoch"`
 		}
-		status, raw, err := c.call(ctx, class, 2*tuning.StateTimeout, http.MethodGet, path, nil, &page)
+		status, raw, err := c.call(ctx, class, 2*constants.StateTimeout, http.MethodGet, path, nil, &page)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -296,7 +296,7 @@
 	var out struct {
 		Epoch uint64 `json:"epoch"`
 	}
-	timeout := tuning.StateTimeout
+	timeout := constants.StateTimeout
 	if class != Lease {
 		timeout = c.patience.next()
 	}
@@ -342,7 +342,7 @@
 	var out struct {
 		Tenure uint64 `json:"tenure"`
 	}
-	status, raw, err := c.call(ctx, Lease, tuning.StateTimeout, http.MethodPost, "/holds", in, &out)
+	status, raw, err := c.call(ctx, Lease, constants.StateTimeout, http.MethodPost, "/holds", in, &out)
 	if err != nil {
 		return 0, err
 	}
@@ -358,7 +358,7 @@
 		return fmt.Errorf("renew: %w: %w", ErrUnavailable, err)
 	}
 	path := fmt.Sprintf("/holds/%d/touch", tenure)
-	status, raw, err := c.call(ctx, Lease, tuning.LeaseRenew, http.MethodPost, path, nil, nil)
+	status, raw, err := c.call(ctx, Lease, constants.LeaseRenew, http.MethodPost, path, nil, nil)
 	switch {
 	case err != nil:
 		return err
@@ -373,7 +373,7 @@
 // Release ends a lease at once, as on an orderly shutdown.
 func (c *Client) Release(ctx context.Context, tenure uint64) error {
 	path := fmt.Sprintf("/holds/%d", tenure)
-	_, _, err := c.call(ctx, Lease, tuning.StateTimeout, http.MethodDelete, path, nil, nil)
+	_, _, err := c.call(ctx, Lease, constants.StateTimeout, http.MethodDelete, path, nil, nil)
 	return err
 }
 
@@ -395,7 +395,7 @@
 	}
 	// An open watch stays open through an outage, so a watch that is late is
 	// given up and asked again.
-	status, raw, err := c.call(ctx, Lease, block+2*tuning.StateTimeout, http.MethodGet, path, nil, &out)
+	status, raw, err := c.call(ctx, Lease, block+2*constants.StateTimeout, http.MethodGet, path, nil, &out)
 	switch {
 	case err != nil:
 		return 0, nil, err
--- a/internal/intake/check.go
+++ b/internal/userapi/check.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"fmt"
@@ -51,10 +51,10 @@
 }
 
 func (j *Job) allowsType(sku string) bool {
-	if j.RigTypes == nil {
+	if j.MachineTypes == nil {
 		return true
 	}
-	for _, t := range j.RigTypes {
+	for _, t := range j.MachineTypes {
 		if t == sku {
 			return true
 		}
--- a/internal/intake/waits.go
+++ b/internal/userapi/dependencies.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"net/http"
 	"strconv"
 
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/statestore"
 )
 
 // A job that waits for others is cancelled as soon as any job before it is, directly
@@ -25,14 +25,14 @@
 // What is left of a submission that comes no further is never looked at.
 func (s *Server) putParts(ctx context.Context, id string, n Needs, parts []json.RawMessage) error {
 	for at := 0; at < len(parts); {
-		var writes []ledger.Write
+		var writes []statestore.Write
 		size := 0
-		for len(writes) < s.ops && at < len(parts) && (size == 0 || size+len(parts[at]) <= tuning.TxnBytes) {
-			writes = append(writes, ledger.Write{Set: n.Split.key(id, at), V: parts[at]})
+		for len(writes) < s.ops && at < len(parts) && (size == 0 || size+len(parts[at]) <= constants.TxnBytes) {
+			writes = append(writes, statestore.Write{Set: n.Split.key(id, at), V: parts[at]})
 			size += len(parts[at])
 			at++
 		}
-		if _, err := s.store.Multi(ctx, ledger.Submit, nil, writes); err != nil {
+		if _, err := s.store.Multi(ctx, statestore.Submit, nil, writes); err != nil {
 			return err
 		}
 	}
@@ -52,12 +52,12 @@
 	for len(ask) > 0 {
 		batch := ask[:min(len(ask), max(s.conds/2, 1))]
 		ask = ask[len(batch):]
-		var when []ledger.Cond
+		var when []statestore.Cond
 		for _, id := range batch {
-			when = append(when, ledger.Cond{K: OpenPrefix + id}, ledger.Cond{K: FinalPrefix + id})
+			when = append(when, statestore.Cond{K: OpenPrefix + id}, statestore.Cond{K: FinalPrefix + id})
 		}
-		_, err := s.multi(ctx, ledger.Submit, when, nil)
-		var conflict *ledger.Conflict
+		_, err := s.multi(ctx, statestore.Submit, when, nil)
+		var conflict *statestore.Conflict
 		switch {
 		case err == nil:
 			return batch[0], nil // none of them exists
@@ -68,9 +68,9 @@
 			if conflict.Has(OpenPrefix+id) || conflict.Has(FinalPrefix+id) {
 				continue
 			}
-			_, found, err := s.store.Get(ctx, ledger.Submit, OpenPrefix+id)
+			_, found, err := s.store.Get(ctx, statestore.Submit, OpenPrefix+id)
 			if err == nil && !found {
-				_, found, err = s.lookFinal(ctx, id, ledger.Submit)
+				_, found, err = s.lookFinal(ctx, id, statestore.Submit)
 			}
 			if err != nil {
 				return "", err
@@ -85,7 +85,7 @@
 
 // before tells whether a job that waits for these is cancelled with one of them, as
 // the open jobs are known here. A job that is done has nothing cancelled before it.
-func (s *Server) before(ctx context.Context, ids []string, class ledger.Class) (cancelled bool, err error) {
+func (s *Server) before(ctx context.Context, ids []string, class statestore.Class) (cancelled bool, err error) {
 	seen := make(map[string]bool)
 	queue := append([]string(nil), ids...)
 	for len(queue) > 0 {
@@ -125,7 +125,7 @@
 }
 
 // whole reads the rest of a list that stands in several values, once.
-func (s *Server) whole(ctx context.Context, id string, n Needs, class ledger.Class) ([]string, error) {
+func (s *Server) whole(ctx context.Context, id string, n Needs, class statestore.Class) ([]string, error) {
 	if n.Split == nil {
 		return n.WaitsOn, nil
 	}
@@ -139,7 +139,7 @@
 // waits tells whether an open job is cancelled with one before it. The mirror is
 // brought up to a moment after the question: what is open in it then was not
 // cancelled, and what is not open has a final record, which never changes.
-func (s *Server) waits(ctx context.Context, id string, row ledger.Row, class ledger.Class) (cancelled bool, err error) {
+func (s *Server) waits(ctx context.Context, id string, row statestore.Row, class statestore.Class) (cancelled bool, err error) {
 	needs := RecordNeeds(row.V)
 	if needs.None() {
 		return false, nil
@@ -155,7 +155,7 @@
 
 // cancelledBefore tells the same for a mirror that has been brought up to a moment
 // after the question, and notes a job that nothing is before any more.
-func (s *Server) cancelledBefore(ctx context.Context, id string, needs Needs, class ledger.Class) (cancelled bool, err error) {
+func (s *Server) cancelledBefore(ctx context.Context, id string, needs Needs, class statestore.Class) (cancelled bool, err error) {
 	list, err := s.whole(ctx, id, needs, class)
 	if err != nil {
 		return false, err
@@ -180,7 +180,7 @@
 // settleWaiting settles polls for jobs that wait for others, by one question for all:
 // each of the open jobs was so at a moment after the polls had come.
 func (s *Server) settleWaiting(ctx context.Context, batch []ask) {
-	ctx, cancel := context.WithTimeout(ctx, tuning.PollPatience)
+	ctx, cancel := context.WithTimeout(ctx, constants.PollPatience)
 	defer cancel()
 	err := s.sync(ctx)
 	open := make(map[string]uint64)
@@ -192,11 +192,11 @@
 		}
 		o := s.mirror.get(a.id)
 		if o.stamp == 0 {
-			st, found, err := s.lookFinal(ctx, a.id, ledger.Poll)
+			st, found, err := s.lookFinal(ctx, a.id, statestore.Poll)
 			a.answer <- answer{st, found, err}
 			continue
 		}
-		cancelled, err := s.cancelledBefore(ctx, a.id, o.needs, ledger.Poll)
+		cancelled, err := s.cancelledBefore(ctx, a.id, o.needs, statestore.Poll)
 		switch {
 		case err != nil:
 			a.answer <- answer{err: err}
