--- a/internal/intake/main_test.go
+++ b/internal/userapi/main_test.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"os"
--- a/internal/intake/mirror.go
+++ b/internal/userapi/mirror.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"context"
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/statestore"
 )
 
 // mirror remembers under which revision a node has seen each open job's record,
@@ -80,7 +80,7 @@
 	}
 }
 
-func (m *mirror) replace(rows []ledger.Row, epoch uint64) {
+func (m *mirror) replace(rows []statestore.Row, epoch uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.open = make(map[string]opened, len(rows))
@@ -100,7 +100,7 @@
 // apply takes in all changes from a revision up to another. Two readers may come
 // with the same ones: those that are in already are passed over, as an older one
 // would bring back what has gone since. It reports false if some lie between.
-func (m *mirror) apply(log []ledger.Change, from, to uint64) bool {
+func (m *mirror) apply(log []statestore.Change, from, to uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.epoch == 0 || from > m.epoch {
@@ -132,18 +132,18 @@
 // Mirror keeps the mirror near the truth until ctx ends.
 func (s *Server) Mirror(ctx context.Context) error {
 	for ctx.Err() == nil {
-		rows, epoch, err := s.store.List(ctx, ledger.Poll, OpenPrefix)
+		rows, epoch, err := s.store.List(ctx, statestore.Poll, OpenPrefix)
 		if err != nil {
-			sleep(ctx, tuning.MirrorEvery)
+			sleep(ctx, constants.MirrorEvery)
 			continue
 		}
 		s.mirror.replace(rows, epoch)
 		rows = nil
 		for ctx.Err() == nil {
-			sleep(ctx, tuning.MirrorEvery)
+			sleep(ctx, constants.MirrorEvery)
 			from := s.mirror.at()
-			next, log, err := s.store.Follow(ctx, OpenPrefix, from, tuning.MirrorBlock)
-			if errors.Is(err, ledger.ErrCompacted) {
+			next, log, err := s.store.Follow(ctx, OpenPrefix, from, constants.MirrorBlock)
+			if errors.Is(err, statestore.ErrCompacted) {
 				break // what was missed is read anew
 			}
 			if err != nil {
--- a/internal/intake/poll.go
+++ b/internal/userapi/poll.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/statestore"
 )
 
 // ask is a poll that waits for its answer.
@@ -55,10 +55,10 @@
 // transaction takes few conditions, and its answer may be long on its way or lost.
 func (s *Server) Polls(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(1 + tuning.PollBatches)
+	group.SetLimit(1 + constants.PollBatches)
 	// Reads have places of their own: batches wait for them, never the reverse.
 	reads, ctx := errgroup.WithContext(ctx)
-	reads.SetLimit(tuning.AskReads)
+	reads.SetLimit(constants.AskReads)
 	group.Go(func() error {
 		for {
 			batch, err := s.nextBatch(ctx)
@@ -89,7 +89,7 @@
 	case first := <-s.asks:
 		batch = append(batch, first)
 	}
-	window := time.NewTimer(tuning.AskWindow)
+	window := time.NewTimer(constants.AskWindow)
 	defer window.Stop()
 	for len(batch) < s.batchSize() {
 		select {
@@ -123,9 +123,9 @@
 	if len(waiting) > 0 {
 		beside.Go(func() { s.settleWaiting(ctx, waiting) })
 	}
-	for _, a := range s.prove(ctx, batch) {
+	for _, a := range s.proveBatch(ctx, batch) {
 		reads.Go(func() error {
-			st, found, err := s.look(a.ctx, a.id, ledger.Poll)
+			st, found, err := s.look(a.ctx, a.id, statestore.Poll)
 			a.answer <- answer{st, found, err}
 			return nil
 		})
@@ -137,7 +137,7 @@
 type comparison struct {
 	polls  []ask
 	stamps map[string]uint64 // by job, as known here; 0: nobody's job
-	when   []ledger.Cond
+	when   []statestore.Cond
 }
 
 // compare makes the next comparison of a batch. waiting are the polls whose jobs may
@@ -158,10 +158,10 @@
 			waiting = append(waiting, a)
 			continue
 		}
-		conds := []ledger.Cond{{K: OpenPrefix + a.id, Stamp: o.stamp}}
+		conds := []statestore.Cond{{K: OpenPrefix + a.id, Stamp: o.stamp}}
 		if o.stamp == 0 {
 			// Neither open nor final at one moment: nobody's job.
-			conds = append(conds, ledger.Cond{K: FinalPrefix + a.id})
+			conds = append(conds, statestore.Cond{K: FinalPrefix + a.id})
 		}
 		if len(c.when)+len(conds) > max(s.conds, len(conds)) {
 			later = append(later, a)
@@ -174,10 +174,10 @@
 	return c, waiting, later
 }
 
-// prove settles what it can of a batch and returns the polls that need reads of their
+// proveBatch settles what it can of a batch and returns the polls that need reads of their
 // own: those whose keys are not as this node knows them, and those of jobs that wait
 // for others.
-func (s *Server) prove(ctx context.Context, batch []ask) (rest []ask) {
+func (s *Server) proveBatch(ctx context.Context, batch []ask) (rest []ask) {
 	for len(batch) > 0 {
 		c, waiting, later := s.compare(batch)
 		rest = append(rest, waiting...)
@@ -185,10 +185,10 @@
 		if len(c.polls) == 0 {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, tuning.PollPatience)
-		_, err := s.multi(callCtx, ledger.Poll, c.when, nil)
+		callCtx, cancel := context.WithTimeout(ctx, constants.PollPatience)
+		_, err := s.multi(callCtx, statestore.Poll, c.when, nil)
 		cancel()
-		var conflict *ledger.Conflict
+		var conflict *statestore.Conflict
 		switch {
 		case err == nil:
 			s.tell(ctx, c.polls, c.stamps)
@@ -208,7 +208,7 @@
 // split parts the polls whose keys clashed from the others. These must be compared
 // again, as only a transaction that holds proves anything. A clash that names none of
 // them may be any one's.
-func (c comparison) split(conflict *ledger.Conflict) (clashed, others []ask) {
+func (c comparison) split(conflict *statestore.Conflict) (clashed, others []ask) {
 	failed := make(map[string]bool, len(conflict.Failed))
 	for _, key := range conflict.Failed {
 		failed[key] = true
@@ -236,7 +236,7 @@
 	}
 	var tasks map[string]Tasks
 	if s.progress != nil && len(ids) > 0 {
-		ctx, cancel := context.WithTimeout(ctx, tuning.MeshTimeout)
+		ctx, cancel := context.WithTimeout(ctx, constants.MeshTimeout)
 		tasks = s.progress(ctx, ids)
 		cancel()
 	}
--- a/internal/intake/records.go
+++ b/internal/userapi/records.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"thornnotch/internal/ledger"
+	"thornnotch/internal/statestore"
 )
 
 // Keys of the users' records. A job is below one prefix or the other: it
@@ -71,11 +71,11 @@
 
 // lister reads keys below a prefix.
 type lister interface {
-	List(ctx context.Context, class ledger.Class, prefix string) ([]ledger.Row, uint64, error)
+	List(ctx context.Context, class statestore.Class, prefix string) ([]statestore.Row, uint64, error)
 }
 
 // Whole completes a list that stands in several values.
-func (n Needs) Whole(ctx context.Context, store lister, class ledger.Class, id string) ([]string, error) {
+func (n Needs) Whole(ctx context.Context, store lister, class statestore.Class, id string) ([]string, error) {
 	if n.Split == nil {
 		return n.WaitsOn, nil
 	}
--- a/internal/intake/server.go
+++ b/internal/userapi/server.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"context"
@@ -14,17 +14,17 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"thornnotch/internal/config"
-	"thornnotch/internal/ledger"
-	"thornnotch/internal/tuning"
-	"thornnotch/internal/vouch"
+	"thornnotch/internal/confirmations"
+	"thornnotch/internal/constants"
+	"thornnotch/internal/statestore"
 )
 
 // Store is what the users' interface needs of the state service.
 type Store interface {
-	Get(ctx context.Context, class ledger.Class, key string) (ledger.Row, bool, error)
-	Multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (uint64, error)
-	List(ctx context.Context, class ledger.Class, prefix string) ([]ledger.Row, uint64, error)
-	Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (uint64, []ledger.Change, error)
+	Get(ctx context.Context, class statestore.Class, key string) (statestore.Row, bool, error)
+	Multi(ctx context.Context, class statestore.Class, when []statestore.Cond, writes []statestore.Write) (uint64, error)
+	List(ctx context.Context, class statestore.Class, prefix string) ([]statestore.Row, uint64, error)
+	Follow(ctx context.Context, prefix string, from uint64, block time.Duration) (uint64, []statestore.Change, error)
 }
 
 // Tasks counts a job's tasks, for display only.
@@ -44,7 +44,7 @@
 	log      *slog.Logger
 	finals   *lru.Cache[string, Final]
 	// cancelled is what this process can vouch for.
-	cancelled *vouch.Memory
+	cancelled *confirmations.Memory
 	mirror    *mirror
 	asks      chan ask
 	conds     int // conditions that one transaction takes
@@ -56,18 +56,18 @@
 
 // vouchesKept is how many cancellations are remembered at so many changes a second.
 func vouchesKept(writeRPS float64) int {
-	return max(tuning.VouchLeast, int(writeRPS*tuning.VouchMemory.Seconds()))
+	return max(constants.VouchLeast, int(writeRPS*constants.VouchMemory.Seconds()))
 }
 
 // NewServer makes the users' interface. submits is how many submissions it takes
 // at once.
 func NewServer(store Store, teams []config.Team, state config.State, submits int, catalog func() []MachineType, progress Progress, ready func() bool, log *slog.Logger) (*Server, error) {
-	finals, err := lru.New[string, Final](tuning.FinalCache)
+	finals, err := lru.New[string, Final](constants.FinalCache)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals, cancelled: vouch.NewMemory(vouchesKept(state.WriteRPS), time.Now()),
-		mirror: newMirror(), asks: make(chan ask, tuning.AskQueue), conds: tuning.CondsPerOp * max(state.TxnOps, 1),
+	return &Server{store: store, teams: teams, catalog: catalog, progress: progress, ready: ready, log: log, finals: finals, cancelled: confirmations.NewMemory(vouchesKept(state.WriteRPS), time.Now()),
+		mirror: newMirror(), asks: make(chan ask, constants.AskQueue), conds: constants.CondsPerOp * max(state.TxnOps, 1),
 		ops: max(state.TxnOps, 1), valueBytes: int(state.ValueKB * 1024),
 		submits: make(chan struct{}, max(submits, 1))}, nil
 }
@@ -108,13 +108,13 @@
 // later answers at once that the request can't be served now, and when to
 // come back.
 func later(w http.ResponseWriter, why string) {
-	w.Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
+	w.Header().Set("Retry-After", strconv.Itoa(constants.RetryAfter))
 	WriteJSON(w, http.StatusServiceUnavailable, problem{Error: why})
 }
 
 // ReadBody reads a request's body within the protocol's bound.
 func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tuning.BodyMax))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, constants.BodyMax))
 	if err != nil {
 		WriteJSON(w, http.StatusBadRequest, problem{Error: "the body can't be read: " + err.Error()})
 		return nil, false
@@ -152,7 +152,7 @@
 		malformed(w, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), tuning.UserPatience)
+	ctx, cancel := context.WithTimeout(r.Context(), constants.UserPatience)
 	defer cancel()
 	cat := s.catalog()
 	if len(cat) == 0 {
@@ -161,7 +161,7 @@
 	}
 	if err := CanRun(j, s.teams, cat); err != nil {
 		// A job accepted under an older catalog stays accepted.
-		st, found, lookErr := s.look(ctx, j.NameID, ledger.Submit)
+		st, found, lookErr := s.look(ctx, j.NameID, statestore.Submit)
 		switch {
 		case lookErr != nil:
 			later(w, "the state service can't be asked")
@@ -181,7 +181,7 @@
 		}
 		if unknown != "" {
 			// Whatever a repeat names, a job known already is known.
-			st, found, lookErr := s.look(ctx, j.NameID, ledger.Submit)
+			st, found, lookErr := s.look(ctx, j.NameID, statestore.Submit)
 			switch {
 			case lookErr != nil:
 				later(w, "the state service can't be asked")
@@ -194,25 +194,25 @@
 		}
 		// Best effort: a job before it that is cancelled, or comes to be, has this
 		// one cancelled in any case.
-		cancelled, _ = s.before(ctx, j.WaitsOn, ledger.Submit)
+		cancelled, _ = s.before(ctx, j.WaitsOn, statestore.Submit)
 	}
 	value, parts, err := pack(*j, time.Now().UnixMilli(), s.valueBytes, s.upload())
 	if err != nil {
 		WriteJSON(w, http.StatusBadRequest, problem{Error: err.Error()})
 		return
 	}
-	write := ledger.Write{Set: OpenPrefix + j.NameID, V: value}
+	write := statestore.Write{Set: OpenPrefix + j.NameID, V: value}
 	if cancelled {
 		raw, _ := json.Marshal(Final{Status: Aborted}) // plain fields always encode
-		write, parts = ledger.Write{Set: FinalPrefix + j.NameID, V: raw}, nil
+		write, parts = statestore.Write{Set: FinalPrefix + j.NameID, V: raw}, nil
 	}
 	if err := s.putParts(ctx, j.NameID, RecordNeeds(value), parts); err != nil {
 		later(w, "the job can't be recorded now")
 		return
 	}
-	epoch, err := s.multi(ctx, ledger.Submit,
-		[]ledger.Cond{{K: OpenPrefix + j.NameID}, {K: FinalPrefix + j.NameID}}, []ledger.Write{write})
-	var conflict *ledger.Conflict
+	epoch, err := s.multi(ctx, statestore.Submit,
+		[]statestore.Cond{{K: OpenPrefix + j.NameID}, {K: FinalPrefix + j.NameID}}, []statestore.Write{write})
+	var conflict *statestore.Conflict
 	switch {
 	case err == nil:
 		if cancelled {
@@ -223,7 +223,7 @@
 		s.mirror.learn(j.NameID, epoch, RecordNeeds(value))
 		WriteJSON(w, http.StatusCreated, State{NameID: j.NameID, Status: Pending})
 	case errors.As(err, &conflict):
-		st, found, err := s.look(ctx, j.NameID, ledger.Submit)
+		st, found, err := s.look(ctx, j.NameID, statestore.Submit)
 		if err != nil || !found {
 			later(w, "the state service can't be asked")
 			return
@@ -239,10 +239,10 @@
 // may be yet, so it is sent again as it was: its conditions on the job's records let
 // just one of them be carried out. Without that its user would come back after a
 // second or more.
-func (s *Server) multi(ctx context.Context, class ledger.Class, when []ledger.Cond, writes []ledger.Write) (epoch uint64, err error) {
-	for range tuning.UserTries {
+func (s *Server) multi(ctx context.Context, class statestore.Class, when []statestore.Cond, writes []statestore.Write) (epoch uint64, err error) {
+	for range constants.UserTries {
 		epoch, err = s.store.Multi(ctx, class, when, writes)
-		if !errors.Is(err, ledger.ErrUnknown) || ctx.Err() != nil {
+		if !errors.Is(err, statestore.ErrUnknown) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -251,7 +251,7 @@
 
 // look reads a job's state: open first, then final, so that a job that moves
 // between both is never missed.
-func (s *Server) look(ctx context.Context, id string, class ledger.Class) (State, bool, error) {
+func (s *Server) look(ctx context.Context, id string, class statestore.Class) (State, bool, error) {
 	if f, ok := s.finals.Get(id); ok {
 		return finalState(id, f), true, nil
 	}
@@ -288,7 +288,7 @@
 	return st
 }
 
-func (s *Server) lookFinal(ctx context.Context, id string, class ledger.Class) (State, bool, error) {
+func (s *Server) lookFinal(ctx context.Context, id string, class statestore.Class) (State, bool, error) {
 	row, found, err := s.store.Get(ctx, class, FinalPrefix+id)
 	if err != nil || !found {
 		return State{}, false, err
@@ -330,7 +330,7 @@
 		WriteJSON(w, http.StatusNotFound, problem{Error: "no such job"})
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollPatience)
+	ctx, cancel := context.WithTimeout(r.Context(), constants.PollPatience)
 	defer cancel()
 	st, found, err := s.ask(ctx, id)
 	switch {
@@ -349,19 +349,19 @@
 		WriteJSON(w, http.StatusNotFound, problem{Error: "no such job"})
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), tuning.UserPatience)
+	ctx, cancel := context.WithTimeout(r.Context(), constants.UserPatience)
 	defer cancel()
 	if f, ok := s.finals.Get(id); ok {
 		WriteJSON(w, http.StatusOK, State{NameID: id, Status: f.Status})
 		return
 	}
 	for range 3 {
-		row, open, err := s.store.Get(ctx, ledger.Cancel, OpenPrefix+id)
+		row, open, err := s.store.Get(ctx, statestore.Cancel, OpenPrefix+id)
 		if err != nil {
 			break
 		}
 		if !open {
-			st, found, err := s.lookFinal(ctx, id, ledger.Cancel)
+			st, found, err := s.lookFinal(ctx, id, statestore.Cancel)
 			if err != nil {
 				break
 			}
@@ -377,9 +377,9 @@
 		if err != nil {
 			break
 		}
-		_, err = s.multi(ctx, ledger.Cancel, []ledger.Cond{{K: OpenPrefix + id, Stamp: row.Stamp}},
-			[]ledger.Write{{Remove: OpenPrefix + id}, {Set: FinalPrefix + id, V: value}})
-		var conflict *ledger.Conflict
+		_, err = s.multi(ctx, statestore.Cancel, []statestore.Cond{{K: OpenPrefix + id, Stamp: row.Stamp}},
+			[]statestore.Write{{Remove: OpenPrefix + id}, {Set: FinalPrefix + id, V: value}})
+		var conflict *statestore.Conflict
 		switch {
 		case err == nil:
 			s.settle(id, f)
--- a/internal/fleet/courier.go
+++ b/internal/workers/courier.go
@@ -1,4 +1,4 @@
-package fleet
+package workers
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"net"
 	"net/http"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // Courier carries orders to workers' own addresses.
@@ -18,15 +18,15 @@
 // NewCourier makes a courier that reaches workers through dial.
 func NewCourier(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Courier {
 	return &Courier{&http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: tuning.CommandsIdle,
-		IdleConnTimeout: tuning.HeaderTimeout, DisableCompression: true,
+		DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: constants.CommandsIdle,
+		IdleConnTimeout: constants.HeaderTimeout, DisableCompression: true,
 	}}}
 }
 
 // Command sends orders; the answer, also to refused ones, is the worker's
 // report.
 func (c *Courier) Command(ctx context.Context, endpoint string, a Answer) (*Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, tuning.CommandTimeout)
+	ctx, cancel := context.WithTimeout(ctx, constants.CommandTimeout)
 	defer cancel()
 	raw, err := json.Marshal(a)
 	if err != nil {
@@ -41,7 +41,7 @@
 		return nil, fmt.Errorf("orders: %w", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 16*tuning.BodyMax))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 16*constants.BodyMax))
 	if err != nil {
 		return nil, fmt.Errorf("orders: %w", err)
 	}
--- a/internal/fleet/machine.go
+++ b/internal/workers/machine.go
@@ -1,10 +1,10 @@
-package fleet
+package workers
 
 import (
 	"sort"
 	"time"
 
-	"thornnotch/internal/tuning"
+	"thornnotch/internal/constants"
 )
 
 // AttemptID names one start of one task.
@@ -156,7 +156,7 @@
 	if m.Warrant == term && m.TokenSeen.IsZero() {
 		m.TokenSeen = now
 	}
-	m.Endpoint, m.Type, m.Zone, m.Spot = r.Endpoint, r.RigType, r.Hall, r.Loaners
+	m.Endpoint, m.Type, m.Zone, m.Spot = r.Endpoint, r.MachineType, r.Hall, r.Loaners
 	if r.RecallS != nil {
 		m.Recall = now.Add(time.Duration(max(*r.RecallS, 0) * float64(time.Second)))
 	} else {
@@ -230,12 +230,12 @@
 	ignored := false
 	for id, a := range m.Attempts {
 		switch {
-		case listed[id] && a.Halt && !a.HaltAt.IsZero() && now.Sub(a.HaltAt) > tuning.StopIgnored &&
+		case listed[id] && a.Halt && !a.HaltAt.IsZero() && now.Sub(a.HaltAt) > constants.StopIgnored &&
 			(a.Status == Running || a.Status == Fetching || a.Status == Waiting):
 			ignored = true
 		case !listed[id] && a.Sent && !a.Inherited && a.Status == "" && r.Tick > a.SentTick:
 			a.Unheard++
-			if a.Unheard >= tuning.UnheardReports {
+			if a.Unheard >= constants.UnheardReports {
 				m.Deaf = true
 			}
 		}
@@ -245,7 +245,7 @@
 	} else {
 		m.Ignored = 0
 	}
-	if m.Ignored >= tuning.UnheardReports {
+	if m.Ignored >= constants.UnheardReports {
 		m.Deaf = true
 	}
 	if !m.Deaf {
@@ -262,7 +262,7 @@
 // reported it, and has not.
 func (m *Machine) Suspect(now time.Time) bool {
 	for _, a := range m.Attempts {
-		if a.Sent && a.Status == "" && !a.SentAt.IsZero() && now.Sub(a.SentAt) > tuning.OrderPatience {
+		if a.Sent && a.Status == "" && !a.SentAt.IsZero() && now.Sub(a.SentAt) > constants.OrderPatience {
 			return true
 		}
 	}
@@ -340,7 +340,7 @@
 	if m.Answered.After(last) {
 		last = m.Answered
 	}
-	limit := time.Duration(float64(lease)*(1+tuning.ClockDrift)) + tuning.LeaseProofMargin
+	limit := time.Duration(float64(lease)*(1+constants.ClockDrift)) + constants.LeaseProofMargin
 	return now.Sub(last) > limit
 }
 
--- a/internal/fleet/main_test.go
+++ b/internal/workers/main_test.go
@@ -1,4 +1,4 @@
-package fleet
+package workers
 
 import (
 	"os"
