--- a/review/_rig/cases.go
+++ b/review/_rig/cases.go
@@ -49,15 +49,18 @@
 
 // asShirebrook sets the site up as kit/sites/shirebrookrx.toml does, for the first deployment.
 func (s *site) asShirebrook(dir string) {
+	s.controllers = 3
 	s.reportS, s.leaseS, s.listLagS, s.readyS, s.pullGbPerS = 2, 12, 10, 25, 0.5
 	s.kind, s.cpus, s.gpus, s.ramGb = "dispenser-32g", 32, 4, 256
 	s.halls = []string{"derby-hall", "leicester-depot", "nottingham-annex"}
 	s.addNodes(dir, shirebrook)
 }
 
-// asGaasiliit sets the site up as kit/sites/gaasiliit.toml does, for the second deployment.
-func (s *site) asGaasiliit(dir string) {
-	s.reportS, s.leaseS, s.listLagS, s.readyS, s.pullGbPerS = 3, 24, 5, 35, 0.5
+// asGaasiliit sets the site up as kit/sites/gaasiliit.toml does, for the second deployment. changes
+// are further replacements in the settings, by turns old and new.
+func (s *site) asGaasiliit(dir string, changes ...string) {
+	s.controllers = max(s.controllers, 3)
+	s.reportS, s.leaseS, s.listLagS, s.readyS, s.pullGbPerS = max(s.reportS, 3), 24, 5, 35, 0.5
 	s.kind, s.cpus, s.gpus, s.ramGb = "valve-64g", 64, 8, 384
 	s.halls = []string{"tallinn-core", "tartu-reserve", "parnu-edge"}
 	params := strings.NewReplacer(
@@ -68,14 +71,14 @@
 		"cores = 0.144", "cores = 0.3", "mem_mb = 125.0", "mem_mb = 234.0", "sockets = 1200", "sockets = 2000",
 		"formulary", "dispatch", "member-services", "shipper-desk", "labelcheck-score", "flow-score",
 	).Replace(shirebrook)
-	s.addNodes(dir, params)
+	s.addNodes(dir, strings.NewReplacer(changes...).Replace(params))
 }
 
 // staleReturn: the leader rents machines and is then refused by the state service alone for 45 s
 // while they boot. They report to the new leader and run its tasks. Does the old leader leave
 // them alone?
 func staleReturn(s *site, dir string, trouble bool) int {
-	const refusedFrom, refusedFor, boot = 31.3, 45.0, 36.5 // s after the rental, s, s; readyS is 25
+	const refusedFrom, refusedFor, boot = 32.2, 45.0, 37.4 // s after the rental, s, s; readyS is 25
 	s.cloud.capacity = 6
 	s.cloud.bootS = func(int) float64 { return boot }
 	s.asShirebrook(dir)
@@ -96,7 +99,7 @@
 		s.log("state service: serves %s again", rentedBy)
 		s.state.RefuseHost(rentedBy, false)
 	}
-	time.Sleep(time.Until(rentedAt.Add(82 * time.Second)))
+	time.Sleep(time.Until(rentedAt.Add(80 * time.Second)))
 	s.user(s.otherNode(rentedBy), "GET", "/work/j-000101", nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -33,6 +33,7 @@
 		"stale-return": staleReturn,
 		"stale-start":  staleStart,
 		"other-field":  otherField,
+		"left-waiting": leftWaiting,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/_rig/site.go
+++ b/review/_rig/site.go
@@ -20,6 +20,7 @@
 // cloud and the workers. Each controller has its own address of the state service and of the
 // cloud, so that the stand-ins know who asks, and can refuse one controller alone.
 type site struct {
+	controllers                 int
 	nodes                       []*nodeInfo
 	reportS, leaseS, pullGbPerS float64
 	readyS, listLagS            float64
@@ -109,8 +110,8 @@
 
 // addNodes prepares the addresses of the controllers and writes their settings.
 func (s *site) addNodes(dir, params string) {
-	for i, hall := range s.halls {
-		node := &nodeInfo{label: fmt.Sprintf("rig-%d", i), hall: hall, listen: s.freePort(), mesh: s.freePort()}
+	for i := range s.controllers {
+		node := &nodeInfo{label: fmt.Sprintf("rig-%d", i), hall: s.halls[i%len(s.halls)], listen: s.freePort(), mesh: s.freePort()}
 		node.state = s.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			r.RemoteAddr = node.label
 			s.state.ServeHTTP(w, r)
