Log where a job may run, as its accepting node and as the leader read it

The zone can be misread when the submission is decoded, when the record is decoded by the leader, or when the job is placed; no log line showed what either decoder had read. Change: the node that records a submission logs "submission recorded", and the leader's "job accepted" contains the same fields (zone, machine_types, spot), both at debug.

--- a/internal/leader/job_admission.go
+++ b/internal/leader/job_admission.go
@@ -34,7 +34,8 @@
 		l.recordArrival(job, now)
 	}
 	l.passes.request()
-	l.deps.Log.Debug("job accepted", "job", id, "team", spec.Team, "class", spec.Class, "tasks", spec.Tasks)
+	l.deps.Log.Debug("job accepted", "job", id, "team", spec.Team, "class", spec.Class, "tasks", spec.Tasks,
+		"zone", spec.Zone, "machine_types", spec.MachineTypes, "spot", spec.AllowSpot)
 }
 
 // submittedAt returns the submission time in a job's record, or now if the record has none or
--- a/internal/userapi/submission.go
+++ b/internal/userapi/submission.go
@@ -129,6 +129,8 @@
 		s.cacheFinalRecord(spec.ID, cancelledRecord)
 		return JobStatus{ID: spec.ID, Status: jobs.StatusCancelled}, true, nil
 	}
+	s.log.Debug("submission recorded", "job", spec.ID, "team", spec.Team, "class", spec.Class, "tasks", spec.Tasks,
+		"zone", spec.Zone, "machine_types", spec.MachineTypes, "spot", spec.AllowSpot)
 	s.replica.add(spec.ID, revision, dependencies)
 	return JobStatus{ID: spec.ID, Status: jobs.StatusPending}, true, nil
 }
