Ignore unknown fields of a submission whatever the case of their names

Seen by callers: a submission with "hall":"derby-hall" and an unknown field "Hall":"leicester-depot" started its tasks in leicester-depot. A submission that lacked "ramGb" but had "ramGB" was accepted, and one with an unknown "Dues":"x" was refused with 400.

Cause: JSON's names are case-sensitive, and the protocol has a receiver ignore the fields that it does not know. encoding/json also matches names that differ in case (and letters that fold to ASCII, such as a long s), and of several matching fields the last one wins. Nothing that decodes JSON said otherwise.

Change: package wirejson decodes JSON with names matched exactly, by segmentio/encoding, which the program already uses for heartbeats: it has a parsing flag for this and otherwise decodes like encoding/json, which a property test checks. Submissions and the dependencies in their records use it. The library's own type error quotes the input; wirejson's names the field and what it must be, so "has the wrong type: string" for pieces is now "has the wrong type: must be an integer".

The tests failed before, on the parent:

--- a/internal/jobs/decode.go
+++ b/internal/jobs/decode.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
+	"strings"
 
 	"thornnotch/internal/constants"
+	"thornnotch/internal/wirejson"
 )
 
 // FieldError describes a problem of a malformed submission.
@@ -46,10 +47,11 @@
 		return nil, &FieldError{Problem: "the body is not a JSON object"}
 	}
 	var decoded submission
-	if err := json.Unmarshal(body, &decoded); err != nil {
-		var typeError *json.UnmarshalTypeError
+	if err := wirejson.Decode(body, &decoded); err != nil {
+		var typeError *wirejson.TypeError
 		if errors.As(err, &typeError) {
-			return nil, &FieldError{typeError.Field, "has the wrong type: " + typeError.Value}
+			field, _, _ := strings.Cut(typeError.Path, ".")
+			return nil, &FieldError{field, "has the wrong type: must be " + typeError.WantName()}
 		}
 		return nil, &FieldError{Problem: "the body is not JSON: " + err.Error()}
 	}
--- a/internal/jobs/decode_test.go
+++ b/internal/jobs/decode_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"thornnotch/internal/jobs/jobstest"
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // requiredFields are the wire names of the fields that a submission must contain.
@@ -74,3 +75,49 @@
 	}
 	return string(raw)
 }
+
+// TestUnknownFieldsOfOtherCaseAreIgnored guards against tasks in a zone, on a machine type or under a
+// job ID that the user gave only in an unknown field, such as "Hall" beside "hall".
+func TestUnknownFieldsOfOtherCaseAreIgnored(t *testing.T) {
+	submitted := jobstest.Edit(t, func(fields map[string]any) {
+		fields["hall"], fields["waitsOn"] = "east", []string{"j-1", "j-2"}
+	})
+	want, err := DecodeSpec(submitted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeSpec(wirejsontest.AddCaseVariants(t, submitted))
+	if err != nil {
+		t.Fatalf("with unknown fields: %v", err)
+	}
+	if encode(t, got) != encode(t, want) {
+		t.Errorf("with unknown fields: got %s, want %s", encode(t, got), encode(t, want))
+	}
+}
+
+// TestFieldOfOtherCaseIsMissing guards against the acceptance of a submission that lacks a required
+// field but has an unknown one whose name differs from it only in the case of its letters.
+func TestFieldOfOtherCaseIsMissing(t *testing.T) {
+	for _, field := range requiredFields {
+		for _, variant := range wirejsontest.CaseVariants(field) {
+			_, err := DecodeSpec(jobstest.Edit(t, func(fields map[string]any) {
+				fields[variant] = fields[field]
+				delete(fields, field)
+			}))
+			var fieldError *FieldError
+			if !errors.As(err, &fieldError) || fieldError.Field != field {
+				t.Errorf("%s in place of %s: got error %v", variant, field, err)
+			}
+		}
+	}
+}
+
+// BenchmarkDecodeSpec decodes a submission.
+func BenchmarkDecodeSpec(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := DecodeSpec([]byte(jobstest.Submission)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/jobs/dependencies.go
+++ b/internal/jobs/dependencies.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // SplitListPrefix is the key prefix for the parts of split dependency lists.
@@ -52,7 +53,7 @@
 	// There are many records, and most have no dependencies. Searching for the field names is
 	// much cheaper than decoding.
 	if bytes.Contains(record, []byte(`"`+FieldDependsOn+`"`)) || bytes.Contains(record, []byte(`"split"`)) {
-		_ = json.Unmarshal(record, &dependencies) // see the doc comment
+		_ = wirejson.Decode(record, &dependencies) // see the doc comment
 	}
 	return dependencies
 }
@@ -78,7 +79,7 @@
 	all := slices.Clone(d.DependsOn)
 	for _, row := range rows {
 		var part []string
-		if err := json.Unmarshal(row.Value, &part); err != nil {
+		if err := wirejson.Decode(row.Value, &part); err != nil {
 			return nil, fmt.Errorf("record %s: decode list of job IDs: %w", row.Key, err)
 		}
 		all = append(all, part...)
--- a/internal/jobs/records_test.go
+++ b/internal/jobs/records_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"testing"
 
 	"thornnotch/internal/jobs/jobstest"
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // TestSpecRoundTrip checks that an encoded specification decodes to the same one.
@@ -22,3 +24,13 @@
 		t.Errorf("encoded %s, encoded again after decoding %s", recorded, reencoded)
 	}
 }
+
+// TestDependenciesIgnoreFieldsOfOtherCase guards against dependencies that a later version's record
+// holds under another name, which differs from "waitsOn" or "split" only in the case of its letters.
+func TestDependenciesIgnoreFieldsOfOtherCase(t *testing.T) {
+	record := []byte(`{"nameId":"j-3","waitsOn":["j-1"],"split":{"upload":"x","parts":2}}`)
+	want := Dependencies{DependsOn: []string{"j-1"}, Split: &SplitList{Upload: "x", Parts: 2}}
+	if got := DecodeDependencies(wirejsontest.AddCaseVariants(t, record)); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/userapi/submission_test.go
+++ b/internal/userapi/submission_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -192,3 +193,30 @@
 		}
 	})
 }
+
+// TestUnknownFieldsOfOtherCaseChangeNoJob guards against a submission that is recorded under the ID or
+// with the zone of an unknown field: the user's job would be unknown, another one would exist that
+// nobody submitted, and its tasks would run where the user forbade it.
+func TestUnknownFieldsOfOtherCaseChangeNoJob(t *testing.T) {
+	store := newMemoryStore()
+	server := newTestServer(t, store, func(options *Options) {
+		types := slices.Clone(testMachineTypes)
+		types[0].Zones = []string{"a", "b"}
+		options.MachineTypes = func() []jobs.MachineType { return types }
+	})
+	handler := newHandler(server)
+	body := string(jobstest.Edit(t, func(fields map[string]any) { fields["hall"] = "a" }))
+	body = strings.TrimSuffix(body, "}") + `,"NameID":"j-000399","Hall":"b","Loaners":false}`
+	if response := request(handler, "POST", "/work", body); response.Code != http.StatusCreated || !strings.Contains(response.Body.String(), `"j-000412"`) {
+		t.Fatalf("submission answered %d %s, want 201 for j-000412", response.Code, response.Body)
+	}
+	if len(store.records) != 1 {
+		t.Errorf("recorded %v, want one job", store.records)
+	}
+	record := string(store.records[jobs.OpenPrefix+"j-000412"].Value)
+	for _, want := range []string{`"nameId":"j-000412"`, `"hall":"a"`, `"loaners":true`} {
+		if !strings.Contains(record, want) {
+			t.Errorf("record %s does not contain %s", record, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wirejson/wirejson.go
@@ -0,0 +1,35 @@
+// Package wirejson decodes the JSON that the program receives from other programs or reads back
+// from the state service.
+//
+// JSON's field names are case-sensitive, and the protocol requires a receiver to ignore the fields
+// that it does not know. The Unmarshal functions of encoding/json and of its replacements also
+// accept a field whose name differs from a known one in the case of its letters, and the last such
+// field in the text wins. An unknown field "Hall" would then replace the value of "hall". Decode
+// matches names exactly; the linter forbids the other decoders.
+package wirejson
+
+import (
+	"errors"
+
+	"github.com/segmentio/encoding/json"
+)
+
+// Decode decodes a text that consists of a single JSON value into the value that into points to. A
+// field of an object sets the struct field whose tag has exactly the same name; all other fields of
+// the object are ignored. In every other respect Decode follows encoding/json: null leaves a value
+// unchanged, and of several fields with the same name the last one wins.
+//
+// The error is a *TypeError if a value does not fit its Go type, a *TrailingDataError if something
+// follows the value, and a *json.SyntaxError of the standard library if raw is not JSON.
+func Decode(raw []byte, into any) error {
+	rest, err := json.Parse(raw, into, json.DontMatchCaseInsensitiveStructFields)
+	var syntaxError *json.SyntaxError
+	if len(rest) > 0 && !errors.As(err, &syntaxError) {
+		return &TrailingDataError{First: rest[0]}
+	}
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		return &TypeError{Path: typeError.Field, Want: typeError.Type}
+	}
+	return err
+}
