Ignore unknown fields of other case in messages, responses and records

A heartbeat with an unknown "Hall" or "Shift" moved its machine to another zone or epoch, one with a value of another type got 400, so that the machine seemed silent. The same holds for a worker's response to direct commands, the cloud's catalog, rentals and list, and every response of the state service: keys, revisions, leases, changes. In stored records (election, log, open and final jobs, catalog, 0.1.0), in the status of other nodes and in the client, it would be a field that a later version adds. The cluster's status even has two names of its own that differ in case only, "commits" and "commitS".

Cause: every decoder matched names without regard to case, that of heartbeats as well: segmentio/encoding does so by default.

Change: they all decode with wirejson. Messages between nodes (net/rpc, gob) are not affected, which a new test shows.

TestDecoderMatchesStandardLibrary compares with encoding/json as before. One of the bytes that it writes into a heartbeat is now u in place of t, since "rigtype" for "rigType" is exactly where the two differ on purpose.

--- a/cmd/thornnotch/client.go
+++ b/cmd/thornnotch/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 	"os"
 
 	"thornnotch/internal/constants"
+	"thornnotch/internal/wirejson"
 )
 
 // client contains the flags and methods shared by the commands that send requests to a node.
@@ -71,7 +71,7 @@
 		Field string `json:"field"`
 	}
 	// If the body is not JSON, the reason stays empty.
-	_ = json.Unmarshal(r.body, &errorBody)
+	_ = wirejson.Decode(r.body, &errorBody)
 	reason := errorBody.Error
 	if errorBody.Field != "" {
 		reason = errorBody.Field + ": " + reason
@@ -97,7 +97,7 @@
 
 // decodeResponse decodes the JSON body of a response.
 func decodeResponse[T any](body []byte) (decoded T, err error) {
-	if err := json.Unmarshal(body, &decoded); err != nil {
+	if err := wirejson.Decode(body, &decoded); err != nil {
 		return decoded, fmt.Errorf("decode response: %w", err)
 	}
 	return decoded, nil
--- a/internal/autoscaling/client.go
+++ b/internal/autoscaling/client.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"thornnotch/internal/constants"
+	"thornnotch/internal/wirejson"
 )
 
 // Errors of calls to the cloud, by which callers distinguish the outcomes.
@@ -138,7 +139,7 @@
 	if response == nil {
 		return nil
 	}
-	if err := json.Unmarshal(raw, response); err != nil {
+	if err := wirejson.Decode(raw, response); err != nil {
 		return fmt.Errorf("%s %s: %w: malformed response: %w", method, path, ErrOutcomeUnknown, err)
 	}
 	return nil
--- a/internal/autoscaling/client_test.go
+++ b/internal/autoscaling/client_test.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"testing"
+
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // TestResponseErrors checks that each kind of response from the cloud becomes the error that
@@ -56,3 +59,46 @@
 		t.Errorf("got %v, want %v", err, ErrOutcomeUnknown)
 	}
 }
+
+// TestCloudResponsesIgnoreFieldsOfOtherCase guards against machines, zones or prices being taken from
+// unknown fields of the cloud's responses, such as "Hall" beside "hall".
+func TestCloudResponsesIgnoreFieldsOfOtherCase(t *testing.T) {
+	var body []byte
+	cloud := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(body) // only the client is tested
+	}))
+	defer cloud.Close()
+	client := NewCloudClient(cloud.Listener.Addr().String(), 100, new(net.Dialer).DialContext)
+	for _, test := range []struct {
+		name, body string
+		call       func() (any, error)
+	}{
+		{
+			"catalog",
+			`{"rigTypes":[{"sku":"g8","vcpus":96,"accelerators":8,"ramGb":768,"cacheGb":200,"pullGbPerS":1.5,"rate":12.5,"marketPrice":4.5,"readyS":45,"halls":["a","b"]}]}`,
+			func() (any, error) { return client.Catalog(t.Context()) },
+		},
+		{
+			"rent", `{"rigs":["m-000231"]}`,
+			func() (any, error) { return client.Rent(t.Context(), RentRequest{ID: "r-1", Count: 1}) },
+		},
+		{
+			"list",
+			`{"rigs":[{"nameId":"m-000231","endpoint":"10.1.0.232:9000","rigType":"g8","hall":"a","loaners":true,"status":"running","heldS":61.5}],"hasNext":true}`,
+			func() (any, error) {
+				instances, next, err := client.List(t.Context(), "")
+				return []any{instances, next}, err
+			},
+		},
+	} {
+		body = []byte(test.body)
+		want, err := test.call()
+		if err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		body = wirejsontest.AddCaseVariants(t, body)
+		if got, err := test.call(); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %+v, error %v, want %+v", test.name, got, err, want)
+		}
+	}
+}
--- a/internal/election/view.go
+++ b/internal/election/view.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // Keys of the election in the state service.
@@ -48,7 +49,7 @@
 		var leader LeaderRecord
 		if value == nil {
 			revision = 0
-		} else if err := json.Unmarshal(value, &leader); err != nil {
+		} else if err := wirejson.Decode(value, &leader); err != nil {
 			return fmt.Errorf("decode record %s: %w", key, err)
 		}
 		v.Leader, v.LeaderRevision = leader, revision
@@ -56,7 +57,7 @@
 		var term TermRecord
 		if value == nil {
 			revision = 0
-		} else if err := json.Unmarshal(value, &term); err != nil {
+		} else if err := wirejson.Decode(value, &term); err != nil {
 			return fmt.Errorf("decode record %s: %w", key, err)
 		}
 		v.Term, v.TermRevision = term.Term, revision
--- a/internal/election/view_test.go
+++ b/internal/election/view_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // TestTermsOnlyIncrease lets nodes campaign with views of any age, delivers their requests
@@ -205,3 +206,20 @@
 		})
 	}
 }
+
+// TestViewIgnoresFieldsOfOtherCase guards against a leader or a term taken from unknown fields of the
+// election's records.
+func TestViewIgnoresFieldsOfOtherCase(t *testing.T) {
+	var view View
+	for _, record := range []struct{ key, text string }{
+		{LeaderKey, `{"label":"rig-1","term":4}`},
+		{TermKey, `{"term":5,"label":"rig-2"}`},
+	} {
+		if err := view.Apply(record.key, wirejsontest.AddCaseVariants(t, []byte(record.text)), 9); err != nil {
+			t.Errorf("%s: %v", record.key, err)
+		}
+	}
+	if want := (View{Leader: LeaderRecord{Node: "rig-1", Term: 4}, LeaderRevision: 9, Term: 5, TermRevision: 9}); view != want {
+		t.Errorf("got %+v, want %+v", view, want)
+	}
+}
--- a/internal/leader/commit_calls.go
+++ b/internal/leader/commit_calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -10,6 +9,7 @@
 	"thornnotch/internal/election"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // commit sends the next transaction if one is due.
@@ -50,7 +50,7 @@
 	result := commitResult{err: conflict, conflict: conflict, head: &wal.Head{}}
 	if found {
 		result.headRevision = row.Revision
-		if err := json.Unmarshal(row.Value, result.head); err != nil {
+		if err := wirejson.Decode(row.Value, result.head); err != nil {
 			return commitResult{err: fmt.Errorf("decode %s after transaction conflict: %w", wal.HeadKey, err)}
 		}
 	}
--- a/internal/leader/final_records.go
+++ b/internal/leader/final_records.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // readFinalRecords starts the reads that waiting jobs need, up to the limit of concurrent
@@ -32,7 +32,7 @@
 			l.dependencies.endRead(dependencyRead{job: id})
 			var final jobs.FinalRecord
 			if err == nil && found {
-				err = json.Unmarshal(row.Value, &final)
+				err = wirejson.Decode(row.Value, &final)
 			}
 			if err != nil || !found {
 				// The read failed, or there is no final record yet. In the latter case, the
--- a/internal/leader/job_admission.go
+++ b/internal/leader/job_admission.go
@@ -8,6 +8,7 @@
 
 	"thornnotch/internal/constants"
 	"thornnotch/internal/jobs"
+	"thornnotch/internal/wirejson"
 )
 
 // addJob adds a job from its open record.
@@ -17,7 +18,7 @@
 		return
 	}
 	var record jobs.Record
-	err := json.Unmarshal(value, &record)
+	err := wirejson.Decode(value, &record)
 	spec := record.Spec
 	if err != nil || spec.ID != id || spec.Tasks < 1 || spec.Tasks > constants.MaxTasks {
 		l.deps.Log.Error("invalid job record", "key", key, "error", err)
--- a/internal/leader/job_table_test.go
+++ b/internal/leader/job_table_test.go
@@ -1,9 +1,13 @@
 package leader
 
 import (
+	"encoding/json"
+	"reflect"
 	"testing"
 	"time"
 
+	"thornnotch/internal/jobs"
+	"thornnotch/internal/wirejson/wirejsontest"
 	"thornnotch/internal/workers"
 )
 
@@ -50,3 +54,24 @@
 		t.Error("still remembered after the deletion was reported")
 	}
 }
+
+// TestJobRecordIgnoresFieldsOfOtherCase guards against a job whose zone, team or dependencies the leader
+// takes from unknown fields of its record.
+func TestJobRecordIgnoresFieldsOfOtherCase(t *testing.T) {
+	l := testLeader(t)
+	now := time.Now()
+	spec := arraySpec("j-1", 2)
+	spec.Zone = "east"
+	record, err := json.Marshal(jobs.Record{Spec: spec, AcceptedAtMS: now.UnixMilli()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.addJob(jobs.OpenPrefix+"j-1", wirejsontest.AddCaseVariants(t, record), 1, now)
+	job := l.jobs.get("j-1")
+	if job == nil {
+		t.Fatal("the job was not added")
+	}
+	if !reflect.DeepEqual(job.spec, &spec) {
+		t.Errorf("got %+v, want %+v", job.spec, spec)
+	}
+}
--- a/internal/leader/legacy.go
+++ b/internal/leader/legacy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"thornnotch/internal/constants"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // Key prefixes of the record format of version 0.1.0, which has one record per machine and one
@@ -46,7 +46,7 @@
 func (l *Leader) restoreLegacy(records legacyRecords, now time.Time) error {
 	for _, row := range records.machines {
 		var record wal.Machine
-		if err := json.Unmarshal(row.Value, &record); err != nil {
+		if err := wirejson.Decode(row.Value, &record); err != nil {
 			return fmt.Errorf("decode record %s: %w", row.Key, err)
 		}
 		if err := l.restoreMachine(strings.TrimPrefix(row.Key, legacyMachinePrefix), &record, now); err != nil {
@@ -75,7 +75,7 @@
 		return "", nil, fmt.Errorf("malformed key %q of completed tasks", row.Key)
 	}
 	var text string
-	if err := json.Unmarshal(row.Value, &text); err != nil {
+	if err := wirejson.Decode(row.Value, &text); err != nil {
 		return "", nil, err
 	}
 	bits, err := base64.StdEncoding.DecodeString(text)
--- a/internal/leader/legacy_test.go
+++ b/internal/leader/legacy_test.go
@@ -44,3 +44,18 @@
 		t.Errorf("unreadable machine record is ignored although it may hide a running task")
 	}
 }
+
+// TestLegacyMachineIgnoresFieldsOfOtherCase guards against a machine whose zone or tasks are taken from
+// unknown fields of its record.
+func TestLegacyMachineIgnoresFieldsOfOtherCase(t *testing.T) {
+	l := testLeader(t)
+	machines := []statestore.KeyValue{{Key: "rig/m-1", Revision: 5, Value: json.RawMessage(
+		`{"t":"g4","z":"east","e":"h:1","h":2,"a":[{"p":"j-0/0","t":8,"h":2,"P":"j-0/1"}],"j":{"j-0":{"w":"a","r":[1,2,3],"W":"b"}},"T":"g8","Z":"west","A":[],"H":"x"}`)}}
+	if err := l.restoreLegacy(legacyRecords{machines: machines}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	worker := l.fleet.get("m-1").worker
+	if worker.Zone != "east" || worker.MachineType != "g4" || len(worker.SortedAttempts()) != 1 || worker.SortedAttempts()[0].ID.Task.Index != 0 {
+		t.Errorf("restored %+v with attempts %v", worker, worker.SortedAttempts())
+	}
+}
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -10,6 +9,7 @@
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // storedRecords holds the records of earlier terms.
@@ -121,7 +121,7 @@
 // readLogRows reads all keys that the log's head refers to, and includes the head itself.
 func (l *Leader) readLogRows(ctx context.Context, headRow statestore.KeyValue) ([]statestore.KeyValue, error) {
 	var head wal.Head
-	if err := json.Unmarshal(headRow.Value, &head); err != nil {
+	if err := wirejson.Decode(headRow.Value, &head); err != nil {
 		return nil, &wal.UnreadableRecordError{Key: wal.HeadKey, Err: err}
 	}
 	rows := []statestore.KeyValue{headRow}
--- a/internal/leader/wal/damage_test.go
+++ b/internal/leader/wal/damage_test.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
 
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // TestReplayReportsDamagedRecords checks that Replay fails and names the record if a live record
@@ -47,3 +49,28 @@
 		})
 	}
 }
+
+// TestReplayIgnoresFieldsOfOtherCase guards against machines and attempts restored from unknown fields of
+// the log's records, such as one that a later version adds.
+func TestReplayIgnoresFieldsOfOtherCase(t *testing.T) {
+	rows := func(head, part, entry string) []statestore.KeyValue {
+		return []statestore.KeyValue{
+			{Key: HeadKey, Value: json.RawMessage(head)},
+			{Key: partKey(areaA, 0), Value: json.RawMessage(part)},
+			{Key: smallRingKey(7), Value: json.RawMessage(entry)},
+		}
+	}
+	const head = `{"term":3,"turn":9,"from":7,"next":8,"area":"a","parts":1}`
+	want, _, err := Replay(rows(head,
+		`{"r":{"m-1":{"t":"g4","z":"east","h":2,"a":[{"p":"j-1/0","t":5,"h":2}]}},"d":{"j-2":[{"f":0,"b":"AQ=="}]}}`,
+		`{"s":7,"r":{"m-1":{"a":[{"p":"j-1/1","t":6,"h":2}],"x":[{"p":"j-1/0","t":5,"h":2}]}},"d":{"j-2":[3]}}`))
+	if err != nil || len(want.Machines["m-1"].Attempts) != 1 {
+		t.Fatalf("got %+v, error %v", want, err)
+	}
+	got, _, err := Replay(rows(string(wirejsontest.AddCaseVariants(t, []byte(head))),
+		`{"R":{},"r":{"m-1":{"t":"g4","z":"east","h":2,"Z":"west","H":9,"a":[{"p":"j-1/0","t":5,"h":2,"T":4}],"A":[]}},"d":{"j-2":[{"f":0,"b":"AQ==","F":8}]},"D":{}}`,
+		`{"S":8,"s":7,"S":6,"r":{"m-1":{"a":[{"p":"j-1/1","t":6,"h":2,"P":"j-9/9"}],"x":[{"p":"j-1/0","t":5,"h":2}],"X":[],"G":true}},"d":{"j-2":[3]},"R":"x"}`))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, error %v, want %+v", got, err, want)
+	}
+}
--- a/internal/leader/wal/replay.go
+++ b/internal/leader/wal/replay.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // State is the state restored from the log.
@@ -75,7 +76,7 @@
 	if !ok {
 		return &MissingRecordError{Key: key}
 	}
-	if err := json.Unmarshal(raw, into); err != nil {
+	if err := wirejson.Decode(raw, into); err != nil {
 		return &UnreadableRecordError{Key: key, Err: err}
 	}
 	return nil
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -11,6 +11,7 @@
 	"thornnotch/internal/autoscaling"
 	"thornnotch/internal/constants"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // catalogKey is the key that holds the latest catalog, so that a node that starts during a
@@ -81,7 +82,7 @@
 
 func decodeCatalog(raw []byte) (*autoscaling.Catalog, error) {
 	var catalog autoscaling.Catalog
-	if err := json.Unmarshal(raw, &catalog); err != nil {
+	if err := wirejson.Decode(raw, &catalog); err != nil {
 		return nil, fmt.Errorf("decode catalog: %w", err)
 	}
 	if err := catalog.Validate(); err != nil {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -13,6 +13,7 @@
 	"thornnotch/internal/constants"
 	"thornnotch/internal/leader"
 	"thornnotch/internal/userapi"
+	"thornnotch/internal/wirejson"
 )
 
 // Status is one node's status for operators.
@@ -140,7 +141,7 @@
 // decodeStatus decodes the JSON that Node.Status returns.
 func decodeStatus(raw []byte) (Overview, error) {
 	var received Overview
-	if err := json.Unmarshal(raw, &received); err != nil {
+	if err := wirejson.Decode(raw, &received); err != nil {
 		return Overview{}, fmt.Errorf("decode node status: %w", err)
 	}
 	if len(received.Nodes) != 1 {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -1,7 +1,9 @@
 package peers
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"net"
 	"net/rpc"
 	"testing"
@@ -75,3 +77,34 @@
 	cancel()
 	<-served
 }
+
+// TestGobFieldNamesAreCaseSensitive guards against a change of the encoding between nodes to one that
+// takes a field of another version for one whose name differs only in the case of its letters.
+func TestGobFieldNamesAreCaseSensitive(t *testing.T) {
+	type args struct {
+		SPANMS, Spanms int64
+		SpanMS         int64
+	}
+	type otherArgs struct{ SPANMS int64 }
+	for _, test := range []struct {
+		sent any
+		want int64
+	}{{args{SPANMS: 1, Spanms: 2, SpanMS: 3}, 3}, {args{SPANMS: 1, Spanms: 2}, 0}} {
+		var stream bytes.Buffer
+		if err := gob.NewEncoder(&stream).Encode(test.sent); err != nil {
+			t.Fatal(err)
+		}
+		var got VouchArgs
+		if err := gob.NewDecoder(&stream).Decode(&got); err != nil || got.SpanMS != test.want {
+			t.Errorf("%+v: got %+v, error %v", test.sent, got, err)
+		}
+	}
+	var stream bytes.Buffer
+	if err := gob.NewEncoder(&stream).Encode(otherArgs{SPANMS: 1}); err != nil {
+		t.Fatal(err)
+	}
+	var got VouchArgs
+	if err := gob.NewDecoder(&stream).Decode(&got); err == nil {
+		t.Errorf("a message without a known field was decoded: %+v", got)
+	}
+}
--- a/internal/statestore/client_test.go
+++ b/internal/statestore/client_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 	"time"
 
 	"thornnotch/internal/constants"
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // newTestClient returns a client of a test server with the given handler. Its budget is large
@@ -122,3 +125,70 @@
 		t.Errorf("lease calls completed only after %d hanging calls had timed out", count)
 	}
 }
+
+// TestResponsesIgnoreFieldsOfOtherCase guards against keys, values, revisions or leases being taken
+// from unknown fields of the state service's responses, such as "Stamp" beside "stamp".
+func TestResponsesIgnoreFieldsOfOtherCase(t *testing.T) {
+	var canned cannedResponse
+	client := newTestClient(t, canned.ServeHTTP)
+	ctx := t.Context()
+	for _, test := range []struct {
+		name, body string
+		status     int
+		call       func() (any, error)
+	}{
+		{"get", `{"k":"a/b","v":7,"stamp":412,"tenure":7}`, http.StatusOK, func() (any, error) {
+			row, _, err := client.Get(ctx, ClassRecord, "a/b")
+			return row, err
+		}},
+		{"list", `{"rows":[{"k":"a/b","v":7,"stamp":3},{"k":"a/c","v":"x","stamp":4}],"hasNext":false,"epoch":431}`, http.StatusOK, func() (any, error) {
+			rows, revision, err := client.List(ctx, ClassRecord, "a/")
+			return fmt.Sprint(rows, revision), err
+		}},
+		{"transaction", `{"epoch":432}`, http.StatusOK, func() (any, error) { return client.Txn(ctx, ClassRecord, nil, nil) }},
+		{"conflict", `{"failed":["a/b"],"epoch":431}`, http.StatusConflict, func() (any, error) {
+			_, err := client.Txn(ctx, ClassRecord, nil, nil)
+			var conflict *ConflictError
+			if errors.As(err, &conflict) {
+				return conflict.FailedKeys, nil
+			}
+			return nil, err
+		}},
+		{"grant lease", `{"tenure":7}`, http.StatusOK, func() (any, error) { return client.GrantLease(ctx, time.Second) }},
+		{"watch", `{"epoch":433,"log":[{"set":"c/9","v":7,"stamp":433},{"remove":"c/d","stamp":432}]}`, http.StatusOK, func() (any, error) {
+			revision, changes, err := client.Watch(ctx, "c/", 1, 0)
+			return fmt.Sprint(revision, changes), err
+		}},
+	} {
+		canned = cannedResponse{test.status, test.body}
+		want, err := test.call()
+		if err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		canned.body = string(wirejsontest.AddCaseVariants(t, []byte(test.body)))
+		if got, err := test.call(); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %v, error %v, want %v", test.name, got, err, want)
+		}
+	}
+}
+
+// BenchmarkList reads a page of as many job records as a page may have. A failover reads thousands.
+func BenchmarkList(b *testing.B) {
+	const record = `{"nameId":"j-000412","workload":"train","owner":"vision","shape":"gang","urgency":"urgent","pieces":16,"vcpus":8,
+ "accelerators":1,"ramGb":64,"bundle":"img-07","imageGb":6.2,"rigTypes":["g8"],"expectS":240,"snapshotS":30,"stashS":4,"atMs":1764849126000}`
+	rows := make([]string, constants.StateListPageSize)
+	for i := range rows {
+		rows[i] = fmt.Sprintf(`{"k":"open/j-%06d","v":%s,"stamp":%d}`, i, record, i+1)
+	}
+	canned := cannedResponse{http.StatusOK, `{"rows":[` + strings.Join(rows, ",") + `],"hasNext":false,"epoch":431}`}
+	server := httptest.NewServer(&canned)
+	defer server.Close()
+	const unlimited = 1e9
+	client := New(strings.TrimPrefix(server.URL, "http://"), NewBudget(unlimited, unlimited), new(net.Dialer).DialContext)
+	b.ReportAllocs()
+	for b.Loop() {
+		if listed, _, err := client.List(b.Context(), ClassRecord, "open/"); err != nil || len(listed) != len(rows) {
+			b.Fatal(len(listed), err)
+		}
+	}
+}
--- a/internal/statestore/transaction.go
+++ b/internal/statestore/transaction.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"thornnotch/internal/constants"
+	"thornnotch/internal/wirejson"
 )
 
 // Txn atomically executes all writes if all conditions hold, and returns the revision of the
@@ -65,7 +65,7 @@
 // keys violates the protocol and leaves the outcome unknown.
 func decodeConflict(request request, response response) error {
 	var conflict conflictResponse
-	if err := json.Unmarshal(response.body, &conflict); err != nil || len(conflict.FailedKeys) == 0 {
+	if err := wirejson.Decode(response.body, &conflict); err != nil || len(conflict.FailedKeys) == 0 {
 		return request.unexpectedResponseError(response)
 	}
 	return &ConflictError{FailedKeys: conflict.FailedKeys}
--- a/internal/statestore/transport.go
+++ b/internal/statestore/transport.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"thornnotch/internal/wirejson"
 )
 
 // request describes one HTTP request to the state service.
@@ -69,7 +71,7 @@
 		return received, fmt.Errorf("%s %s: %w (status %d)", request.method, request.path, ErrUnavailable, received.status)
 	}
 	if received.status == http.StatusOK && request.result != nil {
-		if err := json.Unmarshal(body, request.result); err != nil {
+		if err := wirejson.Decode(body, request.result); err != nil {
 			return response{}, request.outcomeUnknownError(fmt.Errorf("decode response: %w", err))
 		}
 	}
--- a/internal/userapi/records.go
+++ b/internal/userapi/records.go
@@ -10,6 +10,7 @@
 	"thornnotch/internal/constants"
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // cancelledRecord is the final record of every cancelled job.
@@ -74,7 +75,7 @@
 		return JobStatus{}, false, err
 	}
 	var final jobs.FinalRecord
-	if err := json.Unmarshal(record.Value, &final); err != nil {
+	if err := wirejson.Decode(record.Value, &final); err != nil {
 		return JobStatus{}, false, fmt.Errorf("decode record %s%s: %w", jobs.FinalPrefix, id, err)
 	}
 	s.cacheFinalRecord(id, final)
--- a/internal/userapi/status_queries_test.go
+++ b/internal/userapi/status_queries_test.go
@@ -16,6 +16,7 @@
 	"thornnotch/internal/constants"
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // slowStore delays each transaction, like a state service at another site.
@@ -287,3 +288,17 @@
 		}
 	}
 }
+
+// TestFinalRecordIgnoresFieldsOfOtherCase guards against a done job that is reported as cancelled
+// because of an unknown field in its record.
+func TestFinalRecordIgnoresFieldsOfOtherCase(t *testing.T) {
+	store := newMemoryStore()
+	key := jobs.FinalPrefix + "j-1"
+	value := wirejsontest.AddCaseVariants(t, []byte(`{"status":"done","pieces":3,"atMs":5}`))
+	store.records[key] = statestore.KeyValue{Key: key, Value: value, Revision: 1}
+	server := newTestServer(t, store, nil)
+	status, found, err := server.lookUpStatus(t.Context(), "j-1", statestore.ClassStatusQuery)
+	if err != nil || !found || status.Status != jobs.StatusDone || *status.Done != 3 {
+		t.Errorf("got %+v, found %v, error %v", status, found, err)
+	}
+}
--- a/internal/wirejson/wirejson.go
+++ b/internal/wirejson/wirejson.go
@@ -23,6 +23,15 @@
 // follows the value, and a *json.SyntaxError of the standard library if raw is not JSON.
 func Decode(raw []byte, into any) error {
 	rest, err := json.Parse(raw, into, json.DontMatchCaseInsensitiveStructFields)
+	if err == nil && len(rest) == 0 {
+		return nil
+	}
+	return decodeError(rest, err)
+}
+
+// decodeError returns the error for a text that can't be decoded. rest is what follows the first value,
+// and err is the library's error, or nil if there is only too much text.
+func decodeError(rest []byte, err error) error {
 	var syntaxError *json.SyntaxError
 	if len(rest) > 0 && !errors.As(err, &syntaxError) {
 		return &TrailingDataError{First: rest[0]}
--- a/internal/workers/wire.go
+++ b/internal/workers/wire.go
@@ -6,11 +6,8 @@
 	"fmt"
 	"strings"
 
-	// Thousands of heartbeats arrive each second, and this package decodes one in a sixth of the
-	// time that the standard library takes.
-	"github.com/segmentio/encoding/json"
-
 	"thornnotch/internal/constants"
+	"thornnotch/internal/wirejson"
 )
 
 // This file defines the JSON messages between workers and controller nodes. The protocol's own
@@ -99,7 +96,7 @@
 		return nil, errors.New("the report is not a JSON object")
 	}
 	var heartbeat Heartbeat
-	if err := json.Unmarshal(raw, &heartbeat); err != nil {
+	if err := wirejson.Decode(raw, &heartbeat); err != nil {
 		return nil, fmt.Errorf("the report is not valid: %w", err)
 	}
 	if err := heartbeat.checkMachine(); err != nil {
--- a/internal/workers/wire_test.go
+++ b/internal/workers/wire_test.go
@@ -3,12 +3,18 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
-	fast "github.com/segmentio/encoding/json"
 	"pgregory.net/rapid"
+
+	"thornnotch/internal/wirejson"
+	"thornnotch/internal/wirejson/wirejsontest"
 )
 
 // TestDecodeHeartbeat checks that valid heartbeats are decoded, also with unknown fields, that
@@ -37,8 +43,53 @@
 	})
 }
 
-// TestDecoderMatchesStandardLibrary checks that the faster JSON decoder accepts the same valid
-// and corrupted heartbeats as encoding/json and decodes them to the same values.
+// reportedHeartbeat has all fields of a heartbeat.
+const reportedHeartbeat = `{"rig":"m-1","endpoint":"1.2.3.4:9","rigType":"g","hall":"a","loaners":true,"shift":1,"tick":3,"warrant":2,
+ "recallS":8.5,"pieces":[{"piece":"j-1/0","try":1,"status":"exited","cause":"done","saved":true},{"piece":"j-1/1","try":2,"status":"running"}]}`
+
+// TestHeartbeatIgnoresFieldsOfOtherCase guards against a machine's zone, epoch or tasks being taken
+// from unknown fields of its heartbeat, such as "Hall" beside "hall".
+func TestHeartbeatIgnoresFieldsOfOtherCase(t *testing.T) {
+	want, err := DecodeHeartbeat([]byte(reportedHeartbeat))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeHeartbeat(wirejsontest.AddCaseVariants(t, []byte(reportedHeartbeat)))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("with unknown fields: got %+v, error %v, want %+v", got, err, want)
+	}
+	for _, field := range []string{"rig", "rigType", "hall", "shift"} {
+		for _, variant := range wirejsontest.CaseVariants(field) {
+			text := strings.Replace(reportedHeartbeat, `"`+field+`":`, `"`+variant+`":`, 1)
+			if _, err := DecodeHeartbeat([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), field+": ") {
+				t.Errorf("%s in place of %s: got error %v", variant, field, err)
+			}
+		}
+	}
+}
+
+// TestDirectCommandResponseIgnoresFieldsOfOtherCase guards against the same in the heartbeat with
+// which a worker responds to direct commands.
+func TestDirectCommandResponseIgnoresFieldsOfOtherCase(t *testing.T) {
+	want, err := DecodeHeartbeat([]byte(reportedHeartbeat))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := wirejsontest.AddCaseVariants(t, []byte(reportedHeartbeat))
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(body) // only the client is tested
+	}))
+	defer worker.Close()
+	client := NewCommandClient(new(net.Dialer).DialContext)
+	got, err := client.Send(t.Context(), worker.Listener.Addr().String(), CommandBatch{Token: 2, Epoch: 1})
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, error %v, want %+v", got, err, want)
+	}
+}
+
+// TestDecoderMatchesStandardLibrary checks that the JSON decoder accepts the same valid and corrupted
+// heartbeats as encoding/json and decodes them to the same values. It differs from encoding/json only for
+// fields of other case, which drawCorruption does not make.
 func TestDecoderMatchesStandardLibrary(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		raw, err := json.Marshal(drawHeartbeat(t))
@@ -46,13 +97,13 @@
 			t.Fatal(err)
 		}
 		raw = drawCorruption(t, raw)
-		var fromFast, fromStandard Heartbeat
-		fastErr, standardErr := fast.Unmarshal(raw, &fromFast), json.Unmarshal(raw, &fromStandard)
-		if (fastErr == nil) != (standardErr == nil) {
-			t.Fatalf("%q: error %v, encoding/json error %v", raw, fastErr, standardErr)
+		var got, want Heartbeat
+		err, standardErr := wirejson.Decode(raw, &got), json.Unmarshal(raw, &want)
+		if (err == nil) != (standardErr == nil) {
+			t.Fatalf("%q: error %v, encoding/json error %v", raw, err, standardErr)
 		}
-		if standardErr == nil && !reflect.DeepEqual(fromFast, fromStandard) {
-			t.Fatalf("%q: decoded %+v, encoding/json decoded %+v", raw, fromFast, fromStandard)
+		if standardErr == nil && !reflect.DeepEqual(got, want) {
+			t.Fatalf("%q: decoded %+v, encoding/json decoded %+v", raw, got, want)
 		}
 	})
 }
@@ -93,7 +144,7 @@
 		return raw[:rapid.IntRange(0, len(raw)).Draw(t, "cut")]
 	case 1:
 		at := rapid.IntRange(0, len(raw)-1).Draw(t, "at")
-		raw[at] = rapid.SampledFrom([]byte(`{}[]",:0-e nt`)).Draw(t, "byte")
+		raw[at] = rapid.SampledFrom([]byte(`{}[]",:0-e nu`)).Draw(t, "byte")
 	case 2:
 		at := rapid.IntRange(0, len(raw)).Draw(t, "at")
 		fragment := rapid.SampledFrom([]string{`"x":1,`, `,`, `null`, `{"a":[1,{}]},`, ` `, "\x00", `"`}).Draw(t, "more")
