simulator: read requests and replies with names matched exactly

Cause: the simulated state service, cloud and workers matched the names of fields without regard to case, like the controllers. A controller that sent a misspelled name would have been understood by them, but not by the real ones. Change: they decode with wirejson.

--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sort"
@@ -153,7 +152,7 @@
 
 func (c *Cloud) rentMachines(w http.ResponseWriter, r *http.Request) {
 	var request autoscaling.RentRequest
-	if json.NewDecoder(r.Body).Decode(&request) != nil || request.ID == "" || request.Count < 1 || request.Count > maxRentCount {
+	if readRequest(r, &request) != nil || request.ID == "" || request.Count < 1 || request.Count > maxRentCount {
 		writeError(w, http.StatusBadRequest, "malformed")
 		return
 	}
@@ -184,7 +183,7 @@
 // and everything on them have stopped, as the protocol requires. It releases c.mu meanwhile.
 func (c *Cloud) returnMachines(w http.ResponseWriter, r *http.Request) {
 	var request machineNames
-	if json.NewDecoder(r.Body).Decode(&request) != nil {
+	if readRequest(r, &request) != nil {
 		writeError(w, http.StatusBadRequest, "malformed")
 		return
 	}
--- a/internal/simulator/site.go
+++ b/internal/simulator/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"thornnotch/internal/autoscaling"
 	"thornnotch/internal/config"
 	"thornnotch/internal/jobs"
+	"thornnotch/internal/wirejson"
 	"thornnotch/internal/workers"
 )
 
@@ -148,7 +148,7 @@
 		return nil, false
 	}
 	var spec jobs.Spec
-	if json.Unmarshal(record, &spec) != nil {
+	if wirejson.Decode(record, &spec) != nil {
 		return nil, false
 	}
 	return &spec, true
--- a/internal/simulator/state_http.go
+++ b/internal/simulator/state_http.go
@@ -1,7 +1,6 @@
 package simulator
 
 import (
-	"encoding/json"
 	"net/http"
 	"sort"
 	"strconv"
@@ -80,7 +79,7 @@
 
 func (s *StateService) grantLease(w http.ResponseWriter, r *http.Request) {
 	var request leaseRequest
-	if json.NewDecoder(r.Body).Decode(&request) != nil || request.TTLMS < minLeaseMS || request.TTLMS > maxLeaseMS {
+	if readRequest(r, &request) != nil || request.TTLMS < minLeaseMS || request.TTLMS > maxLeaseMS {
 		writeError(w, http.StatusBadRequest, "ttlMs")
 		return
 	}
@@ -107,7 +106,7 @@
 // applies the transaction as the fault requires.
 func (s *StateService) handleTransaction(w http.ResponseWriter, r *http.Request) {
 	var txn storeTransaction
-	if json.NewDecoder(r.Body).Decode(&txn) != nil {
+	if readRequest(r, &txn) != nil {
 		writeError(w, http.StatusBadRequest, "malformed")
 		return
 	}
--- a/internal/simulator/wire.go
+++ b/internal/simulator/wire.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"thornnotch/internal/autoscaling"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // The client packages do not declare the protocol messages below, or declare them only for the
@@ -86,6 +88,15 @@
 	Leader string `json:"foreman"`
 }
 
+// readRequest decodes the JSON body of a request into the value that into points to.
+func readRequest(r *http.Request, into any) error {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	return wirejson.Decode(body, into)
+}
+
 func writeReply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/simulator/worker_heartbeats.go
+++ b/internal/simulator/worker_heartbeats.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"thornnotch/internal/wirejson"
 	"thornnotch/internal/workers"
 )
 
@@ -117,7 +118,7 @@
 // caller must hold w.mu.
 func (w *Worker) applyCommandBatch(body []byte, epoch uint64, sentAt time.Time) {
 	var batch workers.CommandBatch
-	if json.Unmarshal(body, &batch) != nil || batch.Token < w.token || epoch != w.epoch {
+	if wirejson.Decode(body, &batch) != nil || batch.Token < w.token || epoch != w.epoch {
 		return
 	}
 	w.token, w.leaseStart = batch.Token, sentAt
@@ -128,7 +129,7 @@
 // the redirect names no other known node, it switches to the next node. The caller must hold w.mu.
 func (w *Worker) followRedirect(body []byte, from string) {
 	var target redirectReply
-	_ = json.Unmarshal(body, &target) // a malformed redirect names no leader
+	_ = wirejson.Decode(body, &target) // a malformed redirect names no leader
 	for i, addr := range w.options.NodeAddrs {
 		if target.Leader != "" && addr == w.options.NodeAddrByLabel[target.Leader] && addr != from {
 			w.nodeIndex = i
--- a/internal/simulator/worker_tasks.go
+++ b/internal/simulator/worker_tasks.go
@@ -1,7 +1,6 @@
 package simulator
 
 import (
-	"encoding/json"
 	"net/http"
 	"sort"
 	"time"
@@ -235,7 +234,7 @@
 // incoming traffic is blocked it ignores the commands and sends no reply.
 func (w *Worker) handleDirectCommands(rw http.ResponseWriter, r *http.Request) {
 	var batch workers.CommandBatch
-	if json.NewDecoder(r.Body).Decode(&batch) != nil || batch.Token == 0 || batch.Epoch == 0 {
+	if readRequest(r, &batch) != nil || batch.Token == 0 || batch.Epoch == 0 {
 		writeError(rw, http.StatusBadRequest, "malformed")
 		return
 	}
