config: ignore unknown settings whatever the case of their names

Seen by callers: with lease_s = 12.0 and an unknown Lease_s = 13.0 in the platform's file, which may have fields that a node does not know, one node started with a lease of 12 s and another with 13 s. An unknown field of another type kept a node from starting.

The TOML library takes a name that differs in case for a known one, and goes through the fields of a table in random order, so that either may win. It has no setting for this, nor has pelletier/go-toml.

A value of the wrong type is now a *SettingError with the full key (known[0].label), without the number of the line. The operators' YAML is not affected: it rejects unknown keys, which the test of its errors now shows for names of other case too.

Tests: TestUnknownSettingsOfOtherCaseAreIgnored failed before, with one of

settings: toml: line 3 (last key "SITE"): incompatible types settings: toml: line 44 (last key "params.workers.LEASE_S"): incompatible types

--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -17,6 +17,8 @@
 	}
 	for text, wantParts := range map[string][]string{
 		"holds:\n  q: 1\n":            {"q", "2"},
+		"holds:\n  P: 0.5\n":          {"unknown field", "P", "2"},
+		"Holds:\n  p: 0.5\n":          {"unknown field", "Holds", "1"},
 		"holds:\n  p: 1.5\n":          {"holds.p", "line 2"},
 		"holds:\n  alpha: 0.9\n":      {"holds.alpha", "line 2"},
 		"budgets:\n  use: 0\n":        {"budgets.use", "line 2"},
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -75,7 +76,10 @@
 		{`times = 1.5`, `times = -1`, "params.objectives[1].times"},
 		{`times = 1.5`, `times = nan`, "params.objectives[1].times"},
 		{`share = 0.8`, `share = 1.8`, "params.objectives[1].share"},
-		{`count = 2`, `count = "two"`, "count"},
+		{`count = 2`, `count = "two"`, "params.count"},
+		{`count = 2`, `count = 2.5`, "params.count"},
+		{`label = "rig-1"`, `label = 3`, "known[0].label"},
+		{`[[params.teams]]`, `[params.teams]`, "params.teams"},
 		{`[params]`, `[params`, "line"},
 	} {
 		_, err := Parse(strings.Replace(validSettings, test.old, test.replacement, 1))
@@ -163,3 +167,40 @@
 		}
 	}
 }
+
+// TestUnknownSettingsOfOtherCaseAreIgnored guards against settings taken from unknown fields whose names
+// differ from known ones only in the case of their letters. Fields of one table are decoded in random
+// order, so nodes with the same file could have different settings.
+func TestUnknownSettingsOfOtherCaseAreIgnored(t *testing.T) {
+	want, err := Parse(validSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(
+		`label = "rig-0"`, "label = \"rig-0\"\nLabel = \"rig-7\"\nSITE = 5",
+		`[services]`, "[Services]\ncloud = \"10.9.9.9:1\"\n[services]\nState = \"10.9.9.9:2\"",
+		`gpus = 4.0`, "gpus = 4.0\nGpus = 900.0\nCPUS_MAX = 1.0",
+		`lease_s = 12.0`, "lease_s = 12.0\nLease_s = 99.0\n\"lea\u017fe_s\" = 98.0\nLEASE_S = \"x\"",
+		`txn_ops = 12`, "txn_ops = 12\nTxn_Ops = 3\nNext = { txn_ops = 2 }",
+	).Replace(validSettings)
+	for range 20 {
+		got, err := Parse(text)
+		if err != nil {
+			t.Fatalf("with unknown fields: %v", err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("with unknown fields: got %+v, want %+v", got, want)
+		}
+	}
+	for _, test := range []struct{ name, variant, wantKey string }{
+		{"label = \"rig-0\"", "Label = \"rig-0\"", "label"},
+		{"lease_s", "Lease_S", "params.workers.lease_s"},
+		{"[params.state]", "[params.State]", "params.state.rps"},
+	} {
+		_, err := Parse(strings.Replace(validSettings, test.name, test.variant, 1))
+		var problem *SettingError
+		if !errors.As(err, &problem) || problem.Key != test.wantKey {
+			t.Errorf("%s in place of %s: got %v, want a problem of %s", test.variant, test.name, err, test.wantKey)
+		}
+	}
+}
