Read the error of a refused call from its field, not from anywhere in the body

Seen by callers: nothing so far. A 503 of the cloud whose "error" is "trouble" was taken for "no capacity" if the words stood in an unknown field, and a 400 of the state service for an expired lease, after which the leader would have asked for a new lease instead of writing less at a time.

Change: both clients decode the field "error".

Tests, which failed before:

TestResponseErrors/unavailable,_with_an_unknown_field: got POST /hosts: no capacity, want cloud unavailable TestRejectionIsToldFromExpiredLease: {"error":"limit","help":"see no such lease"}: got lease expired, want rejected the request

Measured: they pass, as do the tests of election and leader.

--- a/internal/autoscaling/client.go
+++ b/internal/autoscaling/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"golang.org/x/time/rate"
 
@@ -32,8 +33,8 @@
 	ErrOutcomeUnknown = errors.New("outcome of call unknown")
 )
 
-// noCapacityMessage is the text in the body of a 503 response that distinguishes
-// ErrNoCapacity from ErrUnavailable.
+// noCapacityMessage is the error of a 503 response that distinguishes ErrNoCapacity from
+// ErrUnavailable.
 const noCapacityMessage = "no capacity"
 
 // CloudClient is a client of the cloud's API that observes its rate limit.
@@ -158,8 +159,10 @@
 
 // statusError returns the error for a response whose status is not 200.
 func statusError(status int, body []byte) error {
+	var response errorResponse
+	_ = wirejson.Decode(body, &response) // a body that is not JSON names no error
 	switch {
-	case status == http.StatusServiceUnavailable && bytes.Contains(body, []byte(noCapacityMessage)):
+	case status == http.StatusServiceUnavailable && strings.Contains(response.Error, noCapacityMessage):
 		return ErrNoCapacity
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
 		return fmt.Errorf("%w (%d)", ErrUnavailable, status)
--- a/internal/autoscaling/client_test.go
+++ b/internal/autoscaling/client_test.go
@@ -26,6 +26,8 @@
 		{"not JSON", http.StatusOK, "<html>", ErrOutcomeUnknown},
 		{"no capacity", http.StatusServiceUnavailable, `{"error":"no capacity"}`, ErrNoCapacity},
 		{"unavailable", http.StatusServiceUnavailable, "later", ErrUnavailable},
+		{"unavailable, with an unknown field", http.StatusServiceUnavailable, `{"error":"trouble","last":"no capacity"}`, ErrUnavailable},
+		{"no capacity, with unknown fields", http.StatusServiceUnavailable, `{"Error":"trouble","error":"no capacity","ERROR":1}`, ErrNoCapacity},
 		{"too many calls", http.StatusTooManyRequests, "", ErrUnavailable},
 		{"failed", http.StatusInternalServerError, "oops", ErrOutcomeUnknown},
 	} {
--- a/internal/autoscaling/wire.go
+++ b/internal/autoscaling/wire.go
@@ -58,3 +58,8 @@
 	Machines []Instance `json:"rigs"`
 	HasNext  bool       `json:"hasNext"`
 }
+
+// errorResponse is the body of a response with an error status.
+type errorResponse struct {
+	Error string `json:"error"`
+}
--- a/internal/statestore/client_test.go
+++ b/internal/statestore/client_test.go
@@ -192,3 +192,25 @@
 		}
 	}
 }
+
+// TestRejectionIsToldFromExpiredLease guards against a transaction that is too large being taken for one
+// whose lease has ended, because an unknown field of the response has the words of that error.
+func TestRejectionIsToldFromExpiredLease(t *testing.T) {
+	var canned cannedResponse
+	client := newTestClient(t, canned.ServeHTTP)
+	for _, test := range []struct {
+		body string
+		want error
+	}{
+		{`{"error":"no such lease"}`, ErrLeaseExpired},
+		{`{"Error":"limit","error":"no such lease","ERROR":1}`, ErrLeaseExpired},
+		{`{"error":"limit"}`, ErrRejected},
+		{`{"error":"limit","help":"see no such lease"}`, ErrRejected},
+		{`no JSON`, ErrRejected},
+	} {
+		canned = cannedResponse{http.StatusBadRequest, test.body}
+		if _, err := client.Txn(t.Context(), ClassRecord, nil, nil); !errors.Is(err, test.want) {
+			t.Errorf("%s: got %v, want %v", test.body, err, test.want)
+		}
+	}
+}
--- a/internal/statestore/transaction.go
+++ b/internal/statestore/transaction.go
@@ -1,11 +1,11 @@
 package statestore
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"thornnotch/internal/constants"
@@ -43,7 +43,7 @@
 		return result.Revision, nil
 	case response.status == http.StatusConflict:
 		return 0, decodeConflict(request, response)
-	case response.status == http.StatusBadRequest && bytes.Contains(response.body, []byte(leaseExpiredMessage)):
+	case response.status == http.StatusBadRequest && namesExpiredLease(response):
 		return 0, ErrLeaseExpired
 	case response.status == http.StatusBadRequest:
 		return 0, fmt.Errorf("execute transaction with %d writes: %w: %.120s", len(writes), ErrRejected, response.body)
@@ -70,3 +70,10 @@
 	}
 	return &ConflictError{FailedKeys: conflict.FailedKeys}
 }
+
+// namesExpiredLease reports whether the error in a response is that the transaction's lease has ended.
+func namesExpiredLease(response response) bool {
+	var body errorResponse
+	err := wirejson.Decode(response.body, &body)
+	return err == nil && strings.Contains(body.Error, leaseExpiredMessage)
+}
--- a/internal/statestore/wire.go
+++ b/internal/statestore/wire.go
@@ -57,7 +57,12 @@
 	FailedKeys []string `json:"failed"`
 }
 
-// leaseExpiredMessage is contained in the response to a transaction whose lease has ended.
+// errorResponse is the body of a response with an error status.
+type errorResponse struct {
+	Error string `json:"error"`
+}
+
+// leaseExpiredMessage is the error of the response to a transaction whose lease has ended.
 const leaseExpiredMessage = "no such lease"
 
 type leaseRequest struct {
