placement: remove Plan.Unplaced, which nobody reads

Change: the field and its two writes are removed; decisions do not change. Measured: the package's tests and those of leader and node pass.

--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -18,7 +18,6 @@
 		}
 		return
 	}
-	p.plan.Unplaced = append(p.plan.Unplaced, gang)
 	if p.gangWithinLimit(gang) {
 		p.preemptOrDrain(gang, len(gang.WaitingTasks))
 	} else if gang.Boost != NoBoost {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -128,7 +128,6 @@
 	for _, array := range remaining {
 		placed := p.placeArray(array.job, array.placed, math.Inf(1))
 		if placed < len(array.job.WaitingTasks) {
-			p.plan.Unplaced = append(p.plan.Unplaced, array.job)
 			p.preemptOrDrain(array.job, len(array.job.WaitingTasks)-placed)
 		}
 	}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -10,8 +10,6 @@
 	AwaitingStops []*Job
 	// Released lists reservations that were overridden by other jobs or that no job can use.
 	Released []Release
-	// Unplaced lists the jobs with tasks that could not be placed, in the order handled.
-	Unplaced []*Job
 	// MachinesExamined is the number of machines examined while placing tasks, summed over all
 	// jobs.
 	MachinesExamined int
