backoff: one place for the waits between retries

Cause: a wait with a context stood four times (leader, election, node, userapi), the jitter of 0.5 to 1.5 times twice.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -13,10 +13,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/constants"
 	"thornnotch/internal/statestore"
 )
@@ -80,23 +80,12 @@
 	for ctx.Err() == nil {
 		if err := e.runRound(ctx, lead); err != nil && ctx.Err() == nil {
 			e.logger.Debug("election round ended", "error", err)
-			sleepJittered(ctx, constants.MinStateBackoff)
+			backoff.Sleep(ctx, backoff.Jitter(constants.MinStateBackoff))
 		}
 	}
 	return ctx.Err()
 }
 
-// sleepJittered waits for 0.5 to 1.5 times d, chosen at random so that nodes do not act in
-// lockstep, or until ctx ends.
-func sleepJittered(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d/2 + rand.N(d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // runRound follows the election until this node may campaign, then campaigns and, if it wins,
 // leads until the term ends.
 func (e *Elector) runRound(ctx context.Context, lead LeadFunc) error {
--- a/internal/leader/commit_result.go
+++ b/internal/leader/commit_result.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/constants"
 	"thornnotch/internal/election"
 	"thornnotch/internal/leader/wal"
@@ -73,7 +74,7 @@
 		c.logger.Warn("commit failed, retrying", "error", err)
 	}
 	c.backoff = min(max(2*c.backoff, constants.MinStateBackoff), constants.MaxStateBackoff)
-	c.retryAt = now.Add(jitter(c.backoff))
+	c.retryAt = now.Add(backoff.Jitter(c.backoff))
 }
 
 // markHealthy resets the backoff. It reports whether commits had been failing.
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/constants"
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/leader/wal"
@@ -147,7 +148,7 @@
 			return statestore.KeyValue{}, false, fmt.Errorf("read %s: %w", key, err)
 		}
 		l.deps.Log.Info("record read failed, retrying", "key", key, "error", err)
-		pause(ctx, constants.MinStateBackoff)
+		backoff.Sleep(ctx, backoff.Jitter(constants.MinStateBackoff))
 	}
 }
 
@@ -172,6 +173,6 @@
 			return recordList{}, fmt.Errorf("list %s: %w", prefix, err)
 		}
 		l.deps.Log.Info("record listing failed, retrying", "key", prefix, "error", err)
-		pause(ctx, constants.MinStateBackoff)
+		backoff.Sleep(ctx, backoff.Jitter(constants.MinStateBackoff))
 	}
 }
--- a/internal/leader/scaling_calls.go
+++ b/internal/leader/scaling_calls.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/constants"
 )
 
@@ -35,7 +36,7 @@
 	outage = c.backoff == 0
 	c.inFlight = false
 	c.backoff = min(max(2*c.backoff, constants.MinCloudBackoff), constants.MaxCloudBackoff)
-	c.retryAt = now.Add(jitter(c.backoff))
+	c.retryAt = now.Add(backoff.Jitter(c.backoff))
 	return outage
 }
 
--- a/internal/leader/watch.go
+++ b/internal/leader/watch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/constants"
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/statestore"
@@ -29,7 +30,7 @@
 			return fmt.Errorf("watch of open jobs cannot resume: %w", err)
 		case err != nil:
 			l.deps.Log.Debug("watch of open jobs failed, retrying", "error", err)
-			pause(ctx, constants.MinStateBackoff)
+			backoff.Sleep(ctx, backoff.Jitter(constants.MinStateBackoff))
 			continue
 		}
 		revision = next
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	"thornnotch/internal/autoscaling"
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/constants"
 	"thornnotch/internal/statestore"
 	"thornnotch/internal/wirejson"
@@ -40,7 +40,7 @@
 		if c.load() == nil {
 			wait = constants.CatalogRetryDelay
 		}
-		pause(ctx, wait)
+		backoff.Sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
@@ -102,13 +102,3 @@
 	}
 	return nil
 }
-
-// pause waits for the given time or until ctx is done.
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/config"
 	"thornnotch/internal/jobs"
 )
@@ -118,7 +119,7 @@
 		if leader := s.leader(); leader != "" {
 			requestReadiness(s.ctx, client, nodeNumber(leader))
 		}
-		pause(s.ctx, 5*time.Second+time.Duration(number)*time.Millisecond)
+		backoff.Sleep(s.ctx, 5*time.Second+time.Duration(number)*time.Millisecond)
 	}
 }
 
--- a/internal/node/users_test.go
+++ b/internal/node/users_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/jobs"
 )
 
@@ -54,7 +55,7 @@
 }
 
 // pause waits for the given time or until the users stop.
-func (u *users) pause(wait time.Duration) { pause(u.ctx, wait) }
+func (u *users) pause(wait time.Duration) { backoff.Sleep(u.ctx, wait) }
 
 // registerJob records a job that a user is about to submit.
 func (u *users) registerJob(spec *jobs.Spec) {
--- a/internal/userapi/replica.go
+++ b/internal/userapi/replica.go
@@ -5,8 +5,8 @@
 	"errors"
 	"strings"
 	"sync"
-	"time"
 
+	"thornnotch/internal/backoff"
 	"thornnotch/internal/constants"
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/statestore"
@@ -155,7 +155,7 @@
 func (s *Server) FollowOpenJobs(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := s.loadReplica(ctx); err != nil {
-			sleep(ctx, constants.MinReplicaUpdateInterval)
+			backoff.Sleep(ctx, constants.MinReplicaUpdateInterval)
 			continue
 		}
 		s.followChanges(ctx)
@@ -178,7 +178,7 @@
 // must be reloaded because changes were missed.
 func (s *Server) followChanges(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, constants.MinReplicaUpdateInterval)
+		backoff.Sleep(ctx, constants.MinReplicaUpdateInterval)
 		from := s.replica.revision()
 		to, changes, err := s.store.Watch(ctx, jobs.OpenPrefix, from, constants.ReplicaWatchWait)
 		if errors.Is(err, statestore.ErrCompacted) {
@@ -212,13 +212,3 @@
 	}
 	return nil
 }
-
-// sleep waits for the duration or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
