lint: forbid the decoders that match field names without regard to case

Cause: nothing kept a new caller from decoding JSON or TOML with the library's default, which is how every path came to have the same fault. Change: forbidigo forbids json.Unmarshal, json.NewDecoder and json.Parse of both libraries, and the struct decoders of the TOML library. Other tests decode with wirejson now, which is stricter.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -73,7 +73,7 @@
 
 // decodeSyntax decodes the text into a table of basic values, arrays and tables.
 func decodeSyntax(text string, table *map[string]any) error {
-	_, err := toml.Decode(text, table)
+	_, err := toml.Decode(text, table) //nolint:forbidigo // a map has no fields whose names could be confused
 	var parseError toml.ParseError
 	switch {
 	case errors.As(err, &parseError):
--- a/internal/election/view_test.go
+++ b/internal/election/view_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 	"thornnotch/internal/wirejson/wirejsontest"
 )
 
@@ -71,9 +72,9 @@
 	var err error
 	switch write.Put {
 	case LeaderKey:
-		err, s.leaderRevision = json.Unmarshal(write.Value, &s.leader), s.revision
+		err, s.leaderRevision = wirejson.Decode(write.Value, &s.leader), s.revision
 	case TermKey:
-		err, s.termRevision = json.Unmarshal(write.Value, &s.term), s.revision
+		err, s.termRevision = wirejson.Decode(write.Value, &s.term), s.revision
 	default:
 		t.Fatalf("unknown key %s", write.Put)
 	}
--- a/internal/jobs/jobstest/jobstest.go
+++ b/internal/jobs/jobstest/jobstest.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/json"
 	"testing"
+
+	"thornnotch/internal/wirejson"
 )
 
 // Submission is a valid submission of a gang. It contains every field except waitsOn, and a
@@ -24,7 +26,7 @@
 func Edit(t TestingT, edit func(fields map[string]any)) []byte {
 	t.Helper()
 	var fields map[string]any
-	if err := json.Unmarshal([]byte(Submission), &fields); err != nil {
+	if err := wirejson.Decode([]byte(Submission), &fields); err != nil {
 		t.Fatal(err)
 	}
 	edit(fields)
--- a/internal/jobs/records_test.go
+++ b/internal/jobs/records_test.go
@@ -1,11 +1,11 @@
 package jobs
 
 import (
-	"encoding/json"
 	"reflect"
 	"testing"
 
 	"thornnotch/internal/jobs/jobstest"
+	"thornnotch/internal/wirejson"
 	"thornnotch/internal/wirejson/wirejsontest"
 )
 
@@ -17,7 +17,7 @@
 	}
 	recorded := encode(t, spec)
 	var readBack Spec
-	if err := json.Unmarshal([]byte(recorded), &readBack); err != nil {
+	if err := wirejson.Decode([]byte(recorded), &readBack); err != nil {
 		t.Fatal(err)
 	}
 	if reencoded := encode(t, &readBack); recorded != reencoded || readBack.Tasks != 16 || !readBack.SameZone {
--- a/internal/leader/commit_test.go
+++ b/internal/leader/commit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -13,6 +12,7 @@
 	"thornnotch/internal/election"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 	"thornnotch/internal/workers"
 )
 
@@ -95,7 +95,7 @@
 		t.Fatalf("retry sends a different transaction")
 	}
 	var head wal.Head
-	if err := json.Unmarshal(first.Writes[0].Value, &head); err != nil || first.Writes[0].Put != wal.HeadKey {
+	if err := wirejson.Decode(first.Writes[0].Value, &head); err != nil || first.Writes[0].Put != wal.HeadKey {
 		t.Fatalf("writes %+v: %v", first.Writes, err)
 	}
 	headConflict := &statestore.ConflictError{FailedKeys: []string{wal.HeadKey}}
--- a/internal/leader/dependency_reservations_test.go
+++ b/internal/leader/dependency_reservations_test.go
@@ -11,6 +11,7 @@
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/placement"
 	"thornnotch/internal/reservations"
+	"thornnotch/internal/wirejson"
 	"thornnotch/internal/workers"
 )
 
@@ -184,7 +185,7 @@
 		t.Fatal(err)
 	}
 	var record wal.Machine
-	if err := json.Unmarshal(raw, &record); err != nil {
+	if err := wirejson.Decode(raw, &record); err != nil {
 		t.Fatal(err)
 	}
 	next := testLeader(t)
--- a/internal/leader/wal/ring_test.go
+++ b/internal/leader/wal/ring_test.go
@@ -1,12 +1,12 @@
 package wal
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
 
 	"thornnotch/internal/constants"
+	"thornnotch/internal/wirejson"
 )
 
 // TestRingNeverOverwritesLiveEntries checks that live entries are not overwritten, however
@@ -122,7 +122,7 @@
 	}
 	for seq := head.From; seq < head.Next; seq++ {
 		var entry Entry
-		if err := json.Unmarshal(store.rows[smallRingKey(seq)].Value, &entry); err != nil {
+		if err := wirejson.Decode(store.rows[smallRingKey(seq)].Value, &entry); err != nil {
 			return fmt.Errorf("entry %d: %w", seq, err)
 		}
 		if entry.Seq != seq {
--- a/internal/leader/wal/store_test.go
+++ b/internal/leader/wal/store_test.go
@@ -1,12 +1,12 @@
 package wal
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 	"testing"
 
 	"thornnotch/internal/statestore"
+	"thornnotch/internal/wirejson"
 )
 
 // fakeStore is an in-memory state service with atomic transactions.
@@ -46,7 +46,7 @@
 // head returns the log's current head, or the zero Head if there is none.
 func (s *fakeStore) head() (head Head, err error) {
 	if row, ok := s.rows[HeadKey]; ok {
-		err = json.Unmarshal(row.Value, &head)
+		err = wirejson.Decode(row.Value, &head)
 	}
 	return head, err
 }
--- a/internal/node/large_fleet_test.go
+++ b/internal/node/large_fleet_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"net/http"
 	"runtime"
 	"sync"
@@ -14,6 +13,7 @@
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/leader/wal"
 	"thornnotch/internal/simulator"
+	"thornnotch/internal/wirejson"
 )
 
 // largeSiteOptions returns the options of a site with 4,000 machines and three nodes, whose
@@ -94,7 +94,7 @@
 
 // readLogHead returns the stored head of the leader's log, or the zero value if there is none.
 func (s *site) readLogHead() (head wal.Head) {
-	_ = json.Unmarshal(s.state.Get(wal.HeadKey), &head) // fails if there is no head yet
+	_ = wirejson.Decode(s.state.Get(wal.HeadKey), &head) // fails if there is no head yet
 	return head
 }
 
--- a/internal/node/rule_checker_test.go
+++ b/internal/node/rule_checker_test.go
@@ -10,6 +10,7 @@
 
 	"thornnotch/internal/config"
 	"thornnotch/internal/jobs"
+	"thornnotch/internal/wirejson"
 	"thornnotch/internal/workers"
 )
 
@@ -119,7 +120,7 @@
 		// The final record must be written: until then a cancellation of the upstream job may
 		// still be recorded first.
 		var final jobs.FinalRecord
-		if _ = json.Unmarshal(c.storedValue(jobs.FinalPrefix+upstreamID), &final); final.Status != jobs.StatusDone {
+		if _ = wirejson.Decode(c.storedValue(jobs.FinalPrefix+upstreamID), &final); final.Status != jobs.StatusDone {
 			c.addViolation("too_early: task %v started before the final record of %s said done (%q)", task, upstreamID, final.Status)
 		}
 		upstream, _ := c.findJob(upstreamID)
--- a/internal/node/site_users_test.go
+++ b/internal/node/site_users_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
 	"thornnotch/internal/jobs"
 	"thornnotch/internal/userapi"
+	"thornnotch/internal/wirejson"
 )
 
 // Single HTTP requests that users send to a site's nodes. The users type builds on them.
@@ -31,7 +33,8 @@
 	}
 	defer response.Body.Close() //nolint:errcheck // nothing is written to it
 	var status userapi.JobStatus
-	_ = json.NewDecoder(response.Body).Decode(&status) // stays empty for error responses, which have another format
+	received, _ := io.ReadAll(response.Body) // a body that ends early is not JSON
+	_ = wirejson.Decode(received, &status)   // stays empty for error responses, which have another format
 	return response.StatusCode, status
 }
 
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"thornnotch/internal/jobs"
+	"thornnotch/internal/wirejson"
 )
 
 // During an upgrade nodes of the old and the new version run side by side and read each
@@ -32,7 +33,7 @@
 	t.Helper()
 	raw, err := os.ReadFile("testdata/production.json")
 	if err == nil {
-		err = json.Unmarshal(raw, &rows)
+		err = wirejson.Decode(raw, &rows)
 	}
 	if err != nil || len(rows) < 10 {
 		t.Fatalf("read testdata/production.json: %d rows, error %v, want at least 10 rows", len(rows), err)
@@ -51,7 +52,7 @@
 			continue
 		}
 		var record Record
-		if err := json.Unmarshal(row.Value, &record); err != nil {
+		if err := wirejson.Decode(row.Value, &record); err != nil {
 			t.Fatalf("decode %s: %v", row.Key, err)
 		}
 		records[id] = record
@@ -183,7 +184,7 @@
 		var production productionRecord
 		raw := sc.state.Get(jobs.OpenPrefix + id)
 		for _, target := range []any{&current, &production} {
-			decoder := json.NewDecoder(bytes.NewReader(raw))
+			decoder := json.NewDecoder(bytes.NewReader(raw)) //nolint:forbidigo // rejects unknown fields
 			decoder.DisallowUnknownFields()
 			if err := decoder.Decode(target); err != nil {
 				sc.t.Errorf("decode %s: %v", raw, err)
@@ -194,7 +195,7 @@
 		}
 		sc.waitFor(2*time.Minute, "the job to complete", func() bool { return sc.knownStatus(id) == jobs.StatusDone })
 		var final productionFinal
-		if err := json.Unmarshal(sc.state.Get(jobs.FinalPrefix+id), &final); err != nil || final.Status != jobs.StatusDone || final.TaskCount != 3 {
+		if err := wirejson.Decode(sc.state.Get(jobs.FinalPrefix+id), &final); err != nil || final.Status != jobs.StatusDone || final.TaskCount != 3 {
 			sc.t.Errorf("final record as production's version reads it: %+v, error %v, want status done and 3 tasks", final, err)
 		}
 	})
--- a/internal/wirejson/wirejson.go
+++ b/internal/wirejson/wirejson.go
@@ -22,7 +22,7 @@
 // The error is a *TypeError if a value does not fit its Go type, a *TrailingDataError if something
 // follows the value, and a *json.SyntaxError of the standard library if raw is not JSON.
 func Decode(raw []byte, into any) error {
-	rest, err := json.Parse(raw, into, json.DontMatchCaseInsensitiveStructFields)
+	rest, err := json.Parse(raw, into, json.DontMatchCaseInsensitiveStructFields) //nolint:forbidigo // matches names exactly
 	if err == nil && len(rest) == 0 {
 		return nil
 	}
--- a/internal/wirejson/wirejson_test.go
+++ b/internal/wirejson/wirejson_test.go
@@ -90,7 +90,7 @@
 			raw = drawChange(t, raw)
 		}
 		var got, want message
-		err, standardErr := Decode(raw, &got), json.Unmarshal(raw, &want)
+		err, standardErr := Decode(raw, &got), json.Unmarshal(raw, &want) //nolint:forbidigo // compared with Decode
 		if (err == nil) != (standardErr == nil) {
 			t.Fatalf("%q: error %v, encoding/json error %v", raw, err, standardErr)
 		}
--- a/internal/wirejson/wirejsontest/wirejsontest.go
+++ b/internal/wirejson/wirejsontest/wirejsontest.go
@@ -34,7 +34,7 @@
 // field's, both in type and not. A receiver must decode the result like the text itself.
 func AddCaseVariants(t TestingT, text []byte) []byte {
 	t.Helper()
-	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder := json.NewDecoder(bytes.NewReader(text)) //nolint:forbidigo // decodes into maps, which have no field names
 	decoder.UseNumber()
 	var value any
 	if err := decoder.Decode(&value); err != nil {
--- a/internal/workers/wire_test.go
+++ b/internal/workers/wire_test.go
@@ -98,7 +98,7 @@
 		}
 		raw = drawCorruption(t, raw)
 		var got, want Heartbeat
-		err, standardErr := wirejson.Decode(raw, &got), json.Unmarshal(raw, &want)
+		err, standardErr := wirejson.Decode(raw, &got), json.Unmarshal(raw, &want) //nolint:forbidigo // compared with Decode
 		if (err == nil) != (standardErr == nil) {
 			t.Fatalf("%q: error %v, encoding/json error %v", raw, err, standardErr)
 		}
