wirejson: limit the nesting of arrays and objects, and fuzz the decoder

Seen by callers: nothing. The library recurses into arrays and objects, also of fields that it ignores, without a limit: a body of 64 KiB that consists of "[" made the stack of its goroutine grow by 32 MiB, and several at once could pass a node's memory limit. Cause: the decoder has no limit. Found by reading it for this change. Change: a text that could nest deeper, which takes more than 10,000 brackets, is first checked by encoding/json, which does not recurse. Measured: TestNestingIsLimited failed before ("10000 nested [: error <nil>, want a syntax error"); 10,000 levels take 4 MiB.

FuzzDecode compares with encoding/json.

--- a/internal/wirejson/wirejson.go
+++ b/internal/wirejson/wirejson.go
@@ -9,19 +9,29 @@
 package wirejson
 
 import (
+	"bytes"
+	stdjson "encoding/json"
 	"errors"
 
 	"github.com/segmentio/encoding/json"
 )
 
+// maxNesting is the number of nested arrays and objects beyond which encoding/json rejects a text.
+const maxNesting = 10000
+
 // Decode decodes a text that consists of a single JSON value into the value that into points to. A
 // field of an object sets the struct field whose tag has exactly the same name; all other fields of
 // the object are ignored. In every other respect Decode follows encoding/json: null leaves a value
-// unchanged, and of several fields with the same name the last one wins.
+// unchanged, of several fields with the same name the last one wins, and a text with more than 10,000
+// nested arrays and objects is not valid. The one known exception is that an empty JSON array does not
+// fit a Go array (a slice is no array).
 //
 // The error is a *TypeError if a value does not fit its Go type, a *TrailingDataError if something
 // follows the value, and a *json.SyntaxError of the standard library if raw is not JSON.
 func Decode(raw []byte, into any) error {
+	if err := checkNesting(raw); err != nil {
+		return err
+	}
 	rest, err := json.Parse(raw, into, json.DontMatchCaseInsensitiveStructFields) //nolint:forbidigo // matches names exactly
 	if err == nil && len(rest) == 0 {
 		return nil
@@ -42,3 +52,14 @@
 	}
 	return err
 }
+
+// checkNesting returns an error if arrays and objects are nested too deeply. The decoder recurses into
+// them, also in fields that it ignores, without a limit of its own: a deep text would use much memory
+// for the stack. Almost every text is too short for that or has too few brackets.
+func checkNesting(raw []byte) error {
+	if len(raw) <= maxNesting || bytes.Count(raw, []byte("["))+bytes.Count(raw, []byte("{")) <= maxNesting {
+		return nil
+	}
+	var value stdjson.RawMessage
+	return stdjson.Unmarshal(raw, &value) //nolint:forbidigo // checks the syntax, without recursion, and the nesting
+}
--- a/internal/wirejson/wirejson_test.go
+++ b/internal/wirejson/wirejson_test.go
@@ -1,6 +1,7 @@
 package wirejson
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"os"
@@ -28,10 +29,11 @@
 	Spot     bool              `json:"loaners"`
 	Types    []string          `json:"rigTypes"`
 	Value    json.RawMessage   `json:"v"`
-	Resource [3]float64        `json:"r"`
 	Nested   []element         `json:"tasks"`
 	Split    *element          `json:"split"`
+	Bits     []byte            `json:"b"`
 	ByName   map[string]member `json:"machines"`
+	Done     map[string][]int  `json:"d"`
 }
 
 type embedded struct {
@@ -48,8 +50,8 @@
 }
 
 const messageText = `{"warrant":41,"nameId":"j-000412","hall":"east","pieces":16,"stamp":412,"ramGb":64.5,"loaners":true,
- "rigTypes":["g8","g4"],"v":[1,"a"],"r":[1,2.5,3],"tasks":[{"piece":"j-1/0","try":2},{"piece":"j-1/1","try":3}],
- "split":{"piece":"p","try":1},"machines":{"m-1":{"h":2}}}`
+ "rigTypes":["g8","g4"],"v":[1,"a"],"tasks":[{"piece":"j-1/0","try":2},{"piece":"j-1/1","try":3}],
+ "split":{"piece":"p","try":1},"b":"BQAA","machines":{"m-1":{"h":2}},"d":{"j-1":[1,-1]}}`
 
 func decodeMessage(t *testing.T, text string) message {
 	t.Helper()
@@ -67,9 +69,9 @@
 	if want.Token != 41 || *want.Zone != "east" || want.Nested[1].Try != 3 || want.ByName["m-1"].Epoch != 2 {
 		t.Fatalf("decoded %+v", want)
 	}
-	// A map's keys are data, not field names, so the map is left out.
+	// A map's keys are data, not field names, so the maps are left out.
 	text, _, _ := strings.Cut(messageText, `,"machines"`)
-	want.ByName = nil
+	want.ByName, want.Done = nil, nil
 	got := decodeMessage(t, string(wirejsontest.AddCaseVariants(t, []byte(text+"}"))))
 	// A raw value is kept as it is written.
 	want.Value, got.Value = nil, nil
@@ -100,6 +102,48 @@
 	})
 }
 
+// FuzzDecode compares Decode with encoding/json on any text in which no field name differs from a known
+// one in case only. Without -fuzz it decodes only the texts added here.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(messageText))
+	for _, text := range []string{``, ` {}`, `null`, `{"v":null,"\u0068all":"a\ud800"}`, `{"machines":{"Hall":{"h":1}},"x":[{}]}`, `{"try":01}`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if hasNameOfOtherCase(raw) {
+			t.Skip()
+		}
+		var got, want message
+		err, standardErr := Decode(raw, &got), json.Unmarshal(raw, &want) //nolint:forbidigo // compared with Decode
+		if (err == nil) != (standardErr == nil) {
+			t.Fatalf("%q: error %v, encoding/json error %v", raw, err, standardErr)
+		}
+		if err == nil && !reflect.DeepEqual(got, want) {
+			t.Fatalf("%q: decoded %+v, encoding/json decoded %+v", raw, got, want)
+		}
+	})
+}
+
+// hasNameOfOtherCase reports whether the text contains a string that differs from the name of a field of
+// message in case only.
+func hasNameOfOtherCase(raw []byte) bool {
+	names := []string{
+		"warrant", "nameId", "hall", "pieces", "stamp", "ramGb", "loaners", "rigTypes", "v", "tasks", "split", "b", "machines", "d",
+		"piece", "try", "h",
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw)) //nolint:forbidigo // reads tokens
+	for {
+		token, err := decoder.Token()
+		if err != nil {
+			return false
+		}
+		text, _ := token.(string)
+		if slices.ContainsFunc(names, func(name string) bool { return strings.EqualFold(name, text) && name != text }) {
+			return true
+		}
+	}
+}
+
 // drawChange truncates the text, replaces a byte or inserts a fragment. It writes no letters of
 // field names.
 func drawChange(t *rapid.T, raw []byte) []byte {
@@ -114,11 +158,26 @@
 	}
 	fragment := rapid.SampledFrom([]string{
 		`"x":1,`, `,`, `null`, `{"y":[1,{}]},`, ` `, "\x00", `"`, "\xff", `\u00`, `\ud800`, `1e999`, `-0`, `01`, "\n",
-		`"nameId":"j-1",`, `"hall":null,`, `"tasks":[{}],`, `"r":[7],`,
+		`"nameId":"j-1",`, `"hall":null,`, `"tasks":[{}],`,
 	}).Draw(t, "fragment")
 	return slices.Concat(raw[:at], []byte(fragment), raw[at:])
 }
 
+// TestDecodeGoArray checks the decoding of an array into a Go array, which is how the log's records hold
+// resources: missing elements are zero, and further ones are ignored, as encoding/json does it. Unlike there,
+// an empty array is an error; no record has one.
+func TestDecodeGoArray(t *testing.T) {
+	for text, want := range map[string][3]float64{`[1,2.5,3]`: {1, 2.5, 3}, `[1]`: {1, 0, 0}, `[1,2,3,4]`: {1, 2, 3}} {
+		var got [3]float64
+		if err := Decode([]byte(text), &got); err != nil || got != want {
+			t.Errorf("%s: got %v, error %v", text, got, err)
+		}
+	}
+	if err := Decode([]byte(`[]`), new([3]float64)); err == nil {
+		t.Error("an empty array was decoded into a Go array: the exception in the comment of Decode is out of date")
+	}
+}
+
 // TestDecodeErrors checks the types of the errors.
 func TestDecodeErrors(t *testing.T) {
 	var syntaxError *json.SyntaxError
@@ -151,3 +210,28 @@
 		}
 	}
 }
+
+// TestNestingIsLimited guards against a text whose nested arrays or objects use up the memory for the
+// decoder's stack. The limit is that of encoding/json.
+func TestNestingIsLimited(t *testing.T) {
+	const allowed = maxNesting - 1 // within the outermost object
+	for _, bracket := range []struct{ open, close string }{{"[", "]"}, {`{"x":`, "}"}} {
+		nest := func(depth int) []byte {
+			inner := strings.Repeat(bracket.open, depth) + "0" + strings.Repeat(bracket.close, depth)
+			return []byte(`{"hall":"east","unknown":` + inner + `}`)
+		}
+		var decoded message
+		if err := Decode(nest(allowed), &decoded); err != nil || *decoded.Zone != "east" {
+			t.Errorf("%d nested %s: zone %v, error %v", allowed, bracket.open, decoded.Zone, err)
+		}
+		var syntaxError *json.SyntaxError
+		if err := Decode(nest(allowed+1), &decoded); !errors.As(err, &syntaxError) {
+			t.Errorf("%d nested %s: error %v, want a syntax error", allowed+1, bracket.open, err)
+		}
+	}
+	// Many brackets that are not nested, or that stand in a string, are allowed.
+	flat := `{"unknown":[` + strings.Repeat("[],{},", 2*maxNesting) + `0],"nameId":"` + strings.Repeat("[{", maxNesting) + `"}`
+	if err := Decode([]byte(flat), new(message)); err != nil {
+		t.Errorf("many brackets: %v", err)
+	}
+}
