constants: the limit of JSON nesting stands with the others

Cause: wirejson had a constant of its own. Change: constants.MaxJSONNesting; the checks of the text's length and of its brackets are two steps. Measured: the package's tests pass.

--- a/internal/constants/serving.go
+++ b/internal/constants/serving.go
@@ -19,6 +19,13 @@
 	ShutdownGrace = 3 * time.Second
 )
 
+// JSON from other programs.
+const (
+	// MaxJSONNesting is the number of arrays and objects that may be nested in a JSON text. It is
+	// that of encoding/json, which has no setting for it.
+	MaxJSONNesting = 10000
+)
+
 // Calls between nodes and node health.
 const (
 	// PeerTimeout is the timeout of a call between nodes.
--- a/internal/wirejson/wirejson.go
+++ b/internal/wirejson/wirejson.go
@@ -14,16 +14,15 @@
 	"errors"
 
 	"github.com/segmentio/encoding/json"
-)
 
-// maxNesting is the number of nested arrays and objects beyond which encoding/json rejects a text.
-const maxNesting = 10000
+	"thornnotch/internal/constants"
+)
 
 // Decode decodes a text that consists of a single JSON value into the value that into points to. A
 // field of an object sets the struct field whose tag has exactly the same name; all other fields of
 // the object are ignored. In every other respect Decode follows encoding/json: null leaves a value
-// unchanged, of several fields with the same name the last one wins, and a text with more than 10,000
-// nested arrays and objects is not valid. The one known exception is that an empty JSON array does not
+// unchanged, of several fields with the same name the last one wins, and a text with more nested
+// arrays and objects than constants.MaxJSONNesting is not valid. The one known exception is that an empty JSON array does not
 // fit a Go array (a slice is no array).
 //
 // The error is a *TypeError if a value does not fit its Go type, a *TrailingDataError if something
@@ -57,7 +56,10 @@
 // them, also in fields that it ignores, without a limit of its own: a deep text would use much memory
 // for the stack. Almost every text is too short for that or has too few brackets.
 func checkNesting(raw []byte) error {
-	if len(raw) <= maxNesting || bytes.Count(raw, []byte("["))+bytes.Count(raw, []byte("{")) <= maxNesting {
+	if len(raw) <= constants.MaxJSONNesting {
+		return nil
+	}
+	if bytes.Count(raw, []byte("["))+bytes.Count(raw, []byte("{")) <= constants.MaxJSONNesting {
 		return nil
 	}
 	var value stdjson.RawMessage
--- a/internal/wirejson/wirejson_test.go
+++ b/internal/wirejson/wirejson_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"thornnotch/internal/constants"
 	"thornnotch/internal/testseed"
 	"thornnotch/internal/wirejson/wirejsontest"
 )
@@ -214,7 +215,7 @@
 // TestNestingIsLimited guards against a text whose nested arrays or objects use up the memory for the
 // decoder's stack. The limit is that of encoding/json.
 func TestNestingIsLimited(t *testing.T) {
-	const allowed = maxNesting - 1 // within the outermost object
+	const allowed = constants.MaxJSONNesting - 1 // within the outermost object
 	for _, bracket := range []struct{ open, close string }{{"[", "]"}, {`{"x":`, "}"}} {
 		nest := func(depth int) []byte {
 			inner := strings.Repeat(bracket.open, depth) + "0" + strings.Repeat(bracket.close, depth)
@@ -230,7 +231,7 @@
 		}
 	}
 	// Many brackets that are not nested, or that stand in a string, are allowed.
-	flat := `{"unknown":[` + strings.Repeat("[],{},", 2*maxNesting) + `0],"nameId":"` + strings.Repeat("[{", maxNesting) + `"}`
+	flat := `{"unknown":[` + strings.Repeat("[],{},", 2*constants.MaxJSONNesting) + `0],"nameId":"` + strings.Repeat("[{", constants.MaxJSONNesting) + `"}`
 	if err := Decode([]byte(flat), new(message)); err != nil {
 		t.Errorf("many brackets: %v", err)
 	}
