--- a/internal/wirejson/wirejson.go
+++ b/internal/wirejson/wirejson.go
@@ -22,8 +22,8 @@
 // field of an object sets the struct field whose tag has exactly the same name; all other fields of
 // the object are ignored. In every other respect Decode follows encoding/json: null leaves a value
 // unchanged, of several fields with the same name the last one wins, and a text with more nested
-// arrays and objects than constants.MaxJSONNesting is not valid. The one known exception is that an empty JSON array does not
-// fit a Go array (a slice is no array).
+// arrays and objects than constants.MaxJSONNesting is not valid. The one known exception is that an
+// empty JSON array does not fit a Go array (a slice is no array).
 //
 // The error is a *TypeError if a value does not fit its Go type, a *TrailingDataError if something
 // follows the value, and a *json.SyntaxError of the standard library if raw is not JSON.
