userapi: answer the malformed repeat of an accepted job with its status

Seen by callers: nothing yet. Cause: a submission was looked up only if it could never run (422), not if it was malformed (400). A body without a valid ID is still refused without any call. Test: TestMalformedRepeatOfAcceptedJobIsAnswered failed before:

--- a/internal/jobs/decode.go
+++ b/internal/jobs/decode.go
@@ -58,6 +58,18 @@
 	return &decoded, nil
 }
 
+// DecodeID decodes the job ID alone from the body of a submission, which may be malformed otherwise. ok
+// is false if the body has no valid ID.
+func DecodeID(body []byte) (id string, ok bool) {
+	var decoded struct {
+		ID string `json:"nameId"`
+	}
+	if err := wirejson.Decode(body, &decoded); err != nil {
+		return "", false
+	}
+	return decoded.ID, ValidID(decoded.ID)
+}
+
 // validator checks a submission field by field. It keeps only the first problem, which is the
 // one reported to the user.
 type validator struct {
--- a/internal/userapi/submission.go
+++ b/internal/userapi/submission.go
@@ -26,15 +26,9 @@
 		return
 	}
 	defer s.releaseSubmissionSlot()
-	spec, err := jobs.DecodeSpec(body)
-	if err != nil {
-		s.log.Debug("malformed submission", "error", err)
-		respondError(w, malformedSubmission(err))
-		return
-	}
 	ctx, cancel := context.WithTimeout(r.Context(), constants.UserRequestTimeout)
 	defer cancel()
-	status, isNew, err := s.submit(ctx, spec)
+	status, isNew, err := s.decodeAndSubmit(ctx, body)
 	switch {
 	case err != nil:
 		respondError(w, err)
@@ -59,6 +53,23 @@
 
 func (s *Server) releaseSubmissionSlot() { <-s.submissionSlots }
 
+// decodeAndSubmit submits the job that the body of a request describes. A malformed submission is
+// rejected unless it repeats one that was accepted: another version of the program may have read it
+// differently.
+func (s *Server) decodeAndSubmit(ctx context.Context, body []byte) (status JobStatus, isNew bool, err error) {
+	spec, err := jobs.DecodeSpec(body)
+	if err == nil {
+		return s.submit(ctx, spec)
+	}
+	s.log.Debug("malformed submission", "error", err)
+	rejection := malformedSubmission(err)
+	id, ok := jobs.DecodeID(body)
+	if !ok {
+		return JobStatus{}, false, rejection
+	}
+	return s.existingOrRejected(ctx, id, rejection)
+}
+
 // submit accepts a job or finds that it was accepted before. Submissions are idempotent: a
 // repeated one returns the current status of the job with isNew = false.
 func (s *Server) submit(ctx context.Context, spec *jobs.Spec) (status JobStatus, isNew bool, err error) {
@@ -88,7 +99,7 @@
 
 // existingOrRejected answers a submission that would be rejected if it were new. An accepted
 // job stays accepted, even if the machine types change or a repeated submission differs from
-// the first. So the job is looked up before its user is told that it can never run.
+// the first. So the job is looked up before its user is told that it is malformed or can never run.
 func (s *Server) existingOrRejected(ctx context.Context, id string, rejection *requestError) (status JobStatus, isNew bool, err error) {
 	status, found, err := s.lookUpStatus(ctx, id, statestore.ClassSubmit)
 	if err != nil {
--- a/internal/userapi/submission_test.go
+++ b/internal/userapi/submission_test.go
@@ -220,3 +220,33 @@
 		}
 	}
 }
+
+// TestMalformedRepeatOfAcceptedJobIsAnswered guards against a job that is accepted by one version of the
+// program and rejected with 400 by another, when its user repeats the submission during an upgrade. Earlier
+// versions took an unknown field "RamGb" for a missing "ramGb".
+func TestMalformedRepeatOfAcceptedJobIsAnswered(t *testing.T) {
+	store := newMemoryStore()
+	handler := newHandler(newTestServer(t, store, nil))
+	malformed := string(jobstest.Edit(t, func(fields map[string]any) {
+		fields["RamGb"] = fields["ramGb"]
+		delete(fields, "ramGb")
+	}))
+	if response := request(handler, "POST", "/work", malformed); response.Code != http.StatusBadRequest || !strings.Contains(response.Body.String(), "ramGb") {
+		t.Errorf("first submission answered %d %s, want 400 for ramGb", response.Code, response.Body)
+	}
+	if response := request(handler, "POST", "/work", jobstest.Submission); response.Code != http.StatusCreated {
+		t.Fatalf("accepting version answered %d %s", response.Code, response.Body)
+	}
+	if response := request(handler, "POST", "/work", malformed); response.Code != http.StatusOK || !strings.Contains(response.Body.String(), `"j-000412"`) {
+		t.Errorf("repeated submission answered %d %s, want 200 for j-000412", response.Code, response.Body)
+	}
+	store.unavailable = true
+	if response := request(handler, "POST", "/work", malformed); response.Code != http.StatusServiceUnavailable {
+		t.Errorf("without the state service: %d %s, want 503", response.Code, response.Body)
+	}
+	for _, body := range []string{`{}`, `[`, `{"nameId":"x"}`, `{"nameId":7}`} {
+		if response := request(handler, "POST", "/work", body); response.Code != http.StatusBadRequest {
+			t.Errorf("%s without the state service: %d, want 400", body, response.Code)
+		}
+	}
+}
