node: a whole site whose users send unknown fields of other case

Cause: the regression tests so far are those of single packages. None follows a submission with an unknown "Hall" to the machine, over a change of leader.

--- a/internal/node/site_test.go
+++ b/internal/node/site_test.go
@@ -31,6 +31,7 @@
 	params             config.Params
 	workerStepInterval time.Duration // interval at which workers update their tasks; 0 means the simulator's default
 	bootTime           time.Duration // time from renting a machine until its worker runs
+	unknownFields      bool          // whether users' submissions have unknown fields, see withUnknownFields
 }
 
 // smallSiteOptions returns the options of a site with three nodes, ten machines and two teams.
--- a/internal/node/site_users_test.go
+++ b/internal/node/site_users_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"testing"
 	"time"
 
 	"thornnotch/internal/jobs"
@@ -65,9 +67,31 @@
 	if job.DependsOn != nil {
 		body["waitsOn"] = job.DependsOn
 	}
+	if s.unknownFields {
+		return s.sendRequest(node, http.MethodPost, "/work", withUnknownFields(s.t, body))
+	}
 	return s.sendRequest(node, http.MethodPost, "/work", body)
 }
 
+// withUnknownFields encodes a submission and appends fields whose names differ from the protocol's only in
+// the case of their letters. They would change the job if they were taken for the protocol's fields.
+func withUnknownFields(t *testing.T, submission map[string]any) json.RawMessage {
+	t.Helper()
+	raw, err := json.Marshal(submission)
+	if err != nil {
+		t.Fatal(err)
+	}
+	otherZone := zones[0]
+	if submission["hall"] == otherZone {
+		otherZone = zones[1]
+	}
+	unknown, err := json.Marshal(map[string]any{"Hall": otherZone, "LOANERS": true, "SamePlace": false, "WaitsOn": []string{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return slices.Concat(raw[:len(raw)-1], []byte{','}, unknown[1:])
+}
+
 // nullIfEmpty returns s, or nil, which is encoded as null, if s is empty.
 func nullIfEmpty(s string) any {
 	if s == "" {
