--- a/internal/wirejson/wirejson_test.go
+++ b/internal/wirejson/wirejson_test.go
@@ -92,17 +92,23 @@
 		for range rapid.IntRange(1, 3).Draw(t, "changes") {
 			raw = drawChange(t, raw)
 		}
-		var got, want message
-		err, standardErr := Decode(raw, &got), json.Unmarshal(raw, &want) //nolint:forbidigo // compared with Decode
-		if (err == nil) != (standardErr == nil) {
-			t.Fatalf("%q: error %v, encoding/json error %v", raw, err, standardErr)
-		}
-		if err == nil && !reflect.DeepEqual(got, want) {
-			t.Fatalf("%q: decoded %+v, encoding/json decoded %+v", raw, got, want)
-		}
+		compareWithStandardLibrary(t, raw)
 	})
 }
 
+// compareWithStandardLibrary checks that Decode and encoding/json both reject the text or decode it to the
+// same message.
+func compareWithStandardLibrary(t interface{ Fatalf(format string, args ...any) }, raw []byte) {
+	var got, want message
+	err, standardErr := Decode(raw, &got), json.Unmarshal(raw, &want) //nolint:forbidigo // compared with Decode
+	if (err == nil) != (standardErr == nil) {
+		t.Fatalf("%q: error %v, encoding/json error %v", raw, err, standardErr)
+	}
+	if err == nil && !reflect.DeepEqual(got, want) {
+		t.Fatalf("%q: decoded %+v, encoding/json decoded %+v", raw, got, want)
+	}
+}
+
 // FuzzDecode compares Decode with encoding/json on any text in which no field name differs from a known
 // one in case only. Without -fuzz it decodes only the texts added here.
 func FuzzDecode(f *testing.F) {
@@ -114,14 +120,7 @@
 		if hasNameOfOtherCase(raw) {
 			t.Skip()
 		}
-		var got, want message
-		err, standardErr := Decode(raw, &got), json.Unmarshal(raw, &want) //nolint:forbidigo // compared with Decode
-		if (err == nil) != (standardErr == nil) {
-			t.Fatalf("%q: error %v, encoding/json error %v", raw, err, standardErr)
-		}
-		if err == nil && !reflect.DeepEqual(got, want) {
-			t.Fatalf("%q: decoded %+v, encoding/json decoded %+v", raw, got, want)
-		}
+		compareWithStandardLibrary(t, raw)
 	})
 }
 
