--- a/internal/wirejson/wirejson_test.go
+++ b/internal/wirejson/wirejson_test.go
@@ -98,7 +98,8 @@
 
 // compareWithStandardLibrary checks that Decode and encoding/json both reject the text or decode it to the
 // same message.
-func compareWithStandardLibrary(t interface{ Fatalf(format string, args ...any) }, raw []byte) {
+func compareWithStandardLibrary(t rapid.TB, raw []byte) {
+	t.Helper()
 	var got, want message
 	err, standardErr := Decode(raw, &got), json.Unmarshal(raw, &want) //nolint:forbidigo // compared with Decode
 	if (err == nil) != (standardErr == nil) {
