--- a/review/_rig2/hunt.go
+++ b/review/_rig2/hunt.go
@@ -431,6 +431,12 @@
 					return simulator.TxnFault{ReplyLost: true, After: time.Duration(rand.Float64() * float64(15*time.Second))}
 				})
 			}, func() { s.state.SetTxnFaults(nil) })
+		case 17:
+			asNew := rand.IntN(2) == 0
+			for _, w := range some {
+				s.record.log("TROUBLE: %s is back at once after an end, as a new worker: %v", w.name, asNew)
+				w.reboot(asNew)
+			}
 		case 13:
 			lasting(n.label+" loses the workers", 3+25*rand.Float64(), func() { n.workersProxy.hold(true) }, func() { n.workersProxy.hold(false) })
 		case 14, 15:
@@ -484,6 +490,26 @@
 	s.record.log("jobs %d, still open %d, term %d", len(h.order), open, s.term())
 }
 
+// reboot has the machine back at once, without its tasks and images: with the next session, or as a
+// new worker.
+func (w *worker) reboot(asNew bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, piece := range w.pieces {
+		if piece.Status != "exited" {
+			w.left(piece)
+			w.ledger.end(w.name, piece.Piece, "machine rebooted")
+		}
+		delete(w.pieces, key)
+	}
+	w.images = map[string]time.Time{}
+	w.leaseStart, w.changed = time.Now(), true
+	w.shift++
+	if asNew {
+		w.shift, w.tick, w.warrant = 1, 0, 0
+	}
+}
+
 func (w *worker) setHanging(hanging bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -496,6 +522,13 @@
 	return options
 }
 
+// playRebootHunt: machines end and are back at once, among the other troubles.
+func playRebootHunt(s *site, trouble bool) (broken bool, err error) {
+	huntPause, huntCancelShare, huntKills = 500*time.Millisecond, 0.4, true
+	huntTroubles = append(huntTroubles, 17, 17, 17, 17, 17, 17, 17, 17)
+	return playHunt(s, trouble)
+}
+
 // playChurnHunt: a job of many tasks makes checkpoints that the lowered limits refuse, so that terms
 // end one after another.
 func playChurnHunt(s *site, trouble bool) (broken bool, err error) {
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -36,6 +36,7 @@
 	"far":        {far(huntSite), playFarHunt},
 	"cancels":    {far(huntSite), playCancelHunt},
 	"strict":     {strict(huntSite), playHunt},
+	"reboot":     {far(huntSite), playRebootHunt},
 	"churn":      {churn(huntSite), playChurnHunt},
 	"checkpoint": {checkpointSite, playCheckpoint},
 }
