--- a/review/_rig2/cloud.go
+++ b/review/_rig2/cloud.go
@@ -2,11 +2,18 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 )
 
+// listed is the list of machines at some time.
+type listed struct {
+	at   time.Time
+	rigs []any
+}
+
 // cloud is the stand-in of the cloud: a fixed number of machines, and no capacity for more. A
 // machine that is returned ends with all that is on it.
 type cloud struct {
@@ -16,6 +23,7 @@
 	workers map[string]*worker
 	order   []string
 	hires   map[string][]string
+	history []listed
 	add     func(hall string) (name string, err error) // c.mu is held
 }
 
@@ -59,6 +67,13 @@
 				"status": "running", "heldS": 600 + time.Since(c.start).Seconds(),
 			})
 		}
+		c.history = append(c.history, listed{time.Now(), rigs})
+		if c.options.strict { // the list lags, and may be older than the one before
+			lag := time.Duration((0.5 + 1.5*rand.Float64()) * c.options.listLagS * float64(time.Second))
+			for i := len(c.history) - 1; i > 0 && time.Since(c.history[i].at) < lag; i-- {
+				rigs = c.history[i-1].rigs
+			}
+		}
 		c.mu.Unlock()
 		writeJSON(rw, http.StatusOK, map[string]any{"rigs": rigs, "hasNext": false})
 	default:
--- a/review/_rig2/hunt.go
+++ b/review/_rig2/hunt.go
@@ -40,6 +40,52 @@
 
 var huntLate atomic.Bool
 
+// The heavy hunt has more machines, jobs and cancellations, and kills leaders just after them.
+var (
+	huntPause       = 1200 * time.Millisecond
+	huntCancelShare = 0.2
+	huntKills       = false
+	huntLower       = false
+	huntKillOdds    = 12
+	huntTroubles    = []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
+)
+
+// playCancelHunt: most jobs are cancelled, while machines get no answers and leaders are killed.
+func playCancelHunt(s *site, trouble bool) (broken bool, err error) {
+	huntPause, huntCancelShare, huntKills, huntKillOdds = 500*time.Millisecond, 0.8, true, 6
+	huntTroubles = []int{0, 1, 3, 3, 4, 5, 6, 7, 7, 8, 8, 8, 9, 14, 15}
+	return playHunt(s, trouble)
+}
+
+func heavy(options siteOptions) siteOptions {
+	options.machines, options.capacity = 40, 60
+	options.teams = []team{{"formulary", 16, 60}, {"surgery-links", 16, 40}, {"member-services", 40, 136}, {"dispensary-analytics", 16, 20}}
+	options.state += "\n[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 35.0"
+	return options
+}
+
+// far is the heavy hunt with the settings of sites/gaasiliit.
+func far(options siteOptions) siteOptions {
+	options.workers = workerTimes{3 * time.Second, 24 * time.Second}
+	options.gangWaitS, options.gangPeerS, options.cancelS = 50, 4, 44
+	options.machine = machineType{"valve-64g", 64, 8, 384, 0.6}
+	options.state = "rps = 150.0\nwrite_rps = 60.0\nvalue_kb = 8.0\ntxn_ops = 32"
+	options.stateLimits = simulator.RequestLimits{ValueBytes: 8 << 10, WritesPerTxn: 32, WritesPerSecond: 60}
+	options.machines, options.capacity = 10, 24
+	return options
+}
+
+func playFarHunt(s *site, trouble bool) (broken bool, err error) {
+	huntPause, huntCancelShare, huntKills = 500*time.Millisecond, 0.4, true
+	return playHunt(s, trouble)
+}
+
+func playHeavyHunt(s *site, trouble bool) (broken bool, err error) {
+	huntPause, huntCancelShare, huntKills = 350*time.Millisecond, 0.5, true
+	huntLower = rand.IntN(2) == 0
+	return playHunt(s, trouble)
+}
+
 // told is what users know of a job.
 type told struct {
 	mu         sync.Mutex
@@ -136,18 +182,26 @@
 		h.order = append(h.order, job.ID)
 		h.mu.Unlock()
 		wg.Go(func() { h.submit(job) })
-		time.Sleep(time.Duration(rand.Float64() * float64(1200*time.Millisecond)))
+		time.Sleep(time.Duration(rand.Float64() * float64(huntPause)))
 	}
 	wg.Wait()
 }
 
+// patience is how long a user waits; some answers get lost.
+func patience() time.Duration {
+	if rand.IntN(4) == 0 {
+		return time.Duration(1+rand.IntN(30)) * time.Millisecond
+	}
+	return 5 * time.Second
+}
+
 func (h *hunt) node() *node { return h.s.nodes[rand.IntN(len(h.s.nodes))] }
 
 func (h *hunt) submit(job *spec) {
 	t := h.jobs[job.ID]
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
 		before := h.look(job.ID)
-		status, a := h.s.call(h.node(), "POST", "/work", job, 5*time.Second)
+		status, a := h.s.call(h.node(), "POST", "/work", job, patience())
 		if status == 201 || status == 200 {
 			h.answered(job.ID, before, status, a)
 			break
@@ -174,19 +228,24 @@
 			h.answered(job.ID, before, status, a)
 		}
 	}
-	if rand.IntN(5) == 0 {
+	if rand.Float64() < huntCancelShare {
 		time.Sleep(time.Duration(rand.Float64() * float64(15*time.Second)))
 		h.mu.Lock()
 		t.asked = true
 		h.mu.Unlock()
 		for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
 			before := h.look(job.ID)
-			status, a := h.s.call(h.node(), "POST", "/work/"+job.ID+"/cancel", struct{}{}, 5*time.Second)
+			status, a := h.s.call(h.node(), "POST", "/work/"+job.ID+"/cancel", struct{}{}, patience())
 			if status == 404 && before.accepted {
 				h.breach("forgotten", "cancel of %s: 404", job.ID)
 			}
 			if status == http.StatusOK {
 				h.answered(job.ID, before, status, a)
+				if leader := h.s.leader(); huntKills && !h.calm.Load() && leader != nil && rand.IntN(huntKillOdds) == 0 {
+					time.Sleep(time.Duration(rand.Float64() * float64(300*time.Millisecond)))
+					h.s.record.log("TROUBLE: %s killed after a cancellation", leader.label)
+					leader.signal(syscall.SIGKILL)
+				}
 				break
 			}
 		}
@@ -314,6 +373,10 @@
 		})
 	}
 	time.Sleep(8 * time.Second)
+	if huntLower {
+		s.state.SetLimits(simulator.RequestLimits{ValueBytes: 2 << 10, WritesPerTxn: 4, WritesPerSecond: 35})
+		s.record.log("TROUBLE: the state service lowers its limits")
+	}
 	for time.Now().Before(end.Add(-3 * time.Second)) {
 		n := h.node()
 		if leader := s.leader(); leader != nil && rand.IntN(2) == 0 {
@@ -322,7 +385,7 @@
 		list := h.machines()
 		w := list[rand.IntN(len(list))]
 		some := list[:min(len(list), 1+rand.IntN(4))]
-		switch rand.IntN(13) {
+		switch huntTroubles[rand.IntN(len(huntTroubles))] {
 		case 0, 1:
 			s.record.log("TROUBLE: %s killed", n.label)
 			s.options.restart = []time.Duration{100 * time.Millisecond, 3 * time.Second}[rand.IntN(2)]
@@ -368,6 +431,26 @@
 					return simulator.TxnFault{ReplyLost: true, After: time.Duration(rand.Float64() * float64(15*time.Second))}
 				})
 			}, func() { s.state.SetTxnFaults(nil) })
+		case 13:
+			lasting(n.label+" loses the workers", 3+25*rand.Float64(), func() { n.workersProxy.hold(true) }, func() { n.workersProxy.hold(false) })
+		case 14, 15:
+			lasting(n.label+" loses the state service and the other controllers, but not its workers", 5+25*rand.Float64(), func() {
+				n.stateProxy.hold(true)
+				n.meshProxy.hold(true)
+			}, func() {
+				n.stateProxy.hold(false)
+				n.meshProxy.hold(false)
+			})
+		case 16:
+			lasting("connections between controllers are refused", 5+25*rand.Float64(), func() {
+				for _, n := range s.nodes {
+					n.meshProxy.reset(true)
+				}
+			}, func() {
+				for _, n := range s.nodes {
+					n.meshProxy.reset(false)
+				}
+			})
 		case 12:
 			s.record.log("TROUBLE: %s is taken back with notice", w.name)
 			w.mu.Lock()
@@ -406,3 +489,32 @@
 	defer w.mu.Unlock()
 	w.hanging = hanging
 }
+
+// strict is the hunt on a platform that is as slow and as late as the pages allow.
+func strict(options siteOptions) siteOptions {
+	options.strict = true
+	return options
+}
+
+// playChurnHunt: a job of many tasks makes checkpoints that the lowered limits refuse, so that terms
+// end one after another.
+func playChurnHunt(s *site, trouble bool) (broken bool, err error) {
+	huntPause, huntCancelShare, huntLower = 350*time.Millisecond, 0.5, true
+	huntTroubles = []int{7, 8, 8, 9, 10, 12}
+	if err := s.await("a controller leads", 20*time.Second, func() bool { return s.leader() != nil }); err != nil {
+		return false, err
+	}
+	if err := s.submit(&spec{
+		ID: "j-800001", Class: "stock-tally", Team: "surgery-links", Shape: "sweep", Urgency: "standard", Pieces: 40000,
+		CPUs: 1, RAM: 6.4, Bundle: "tally", ImageGB: 1, Loaners: true, ExpectS: 2, runS: 2,
+	}); err != nil {
+		return false, err
+	}
+	return playHunt(s, trouble)
+}
+
+func churn(options siteOptions) siteOptions {
+	options = heavy(options)
+	options.machines, options.capacity = 110, 140
+	return options
+}
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -31,6 +31,11 @@
 }{
 	"quota":      {quotaSite, playQuota},
 	"hunt":       {huntSite, playHunt},
+	"heavy":      {heavy(huntSite), playHeavyHunt},
+	"far":        {far(huntSite), playFarHunt},
+	"cancels":    {far(huntSite), playCancelHunt},
+	"strict":     {strict(huntSite), playHunt},
+	"churn":      {churn(huntSite), playChurnHunt},
 	"checkpoint": {checkpointSite, playCheckpoint},
 }
 
--- a/review/_rig2/site.go
+++ b/review/_rig2/site.go
@@ -36,7 +36,8 @@
 	zones    []string
 	machine  machineType
 	machines int
-	capacity int // machines in all; 0: no more than at the start
+	capacity int  // machines in all; 0: no more than at the start
+	strict   bool // the platform is as slow and as late as the pages allow
 	teams    []team
 	workers  workerTimes
 	// settings below [params], without the teams
@@ -53,6 +54,7 @@
 	label, site, listen, mesh, config, log string
 	stateProxy                             *proxy
 	state                                  *stateFront
+	meshProxy, workersProxy                *proxy
 	cmd                                    *exec.Cmd
 	ended                                  chan struct{}
 	starts                                 int
@@ -110,8 +112,9 @@
 	if err != nil {
 		return nil, err
 	}
+	limit := &requestLimit{perSecond: 150, tokens: 150, at: time.Now()}
 	for i := range options.zones {
-		front := &stateFront{service: s.state}
+		front := &stateFront{service: s.state, limit: limit, strict: options.strict}
 		stateAddr, err := s.serve(front)
 		if err != nil {
 			return nil, err
@@ -128,9 +131,17 @@
 		if err != nil {
 			return nil, err
 		}
+		meshProxy, err := newProxy(mesh)
+		if err != nil {
+			return nil, err
+		}
+		workersProxy, err := newProxy(listen)
+		if err != nil {
+			return nil, err
+		}
 		label := fmt.Sprintf("rig-%d", i)
 		s.nodes = append(s.nodes, &node{
-			label: label, site: options.zones[i], listen: listen, mesh: mesh, stateProxy: proxy, state: front,
+			label: label, site: options.zones[i], listen: listen, mesh: mesh, stateProxy: proxy, state: front, meshProxy: meshProxy, workersProxy: workersProxy,
 			config: filepath.Join(folder, label+".toml"), log: filepath.Join(folder, label+".log"),
 		})
 	}
@@ -190,7 +201,7 @@
 	fmt.Fprintf(&b, "label = %q\nsite = %q\nlisten = %q\nmesh_addr = %q\n", n.label, n.site, n.listen, n.mesh)
 	for _, other := range s.nodes {
 		if other != n {
-			fmt.Fprintf(&b, "[[known]]\nlabel = %q\nsite = %q\naddr = %q\n", other.label, other.site, other.mesh)
+			fmt.Fprintf(&b, "[[known]]\nlabel = %q\nsite = %q\naddr = %q\n", other.label, other.site, other.meshProxy.addr)
 		}
 	}
 	fmt.Fprintf(&b, "[services]\ncloud = %q\nstate = %q\n", cloudAddr, n.stateProxy.addr)
@@ -220,7 +231,7 @@
 		done: make(chan struct{}), shift: 1, pieces: map[pieceKey]*pieceState{}, images: map[string]time.Time{}, nodeIndex: i, gangs: s.gangs, late: s.late,
 	}
 	for index, n := range s.nodes {
-		w.nodes = append(w.nodes, n.listen)
+		w.nodes = append(w.nodes, n.workersProxy.addr)
 		w.labels[n.label] = index
 	}
 	s.ledger.mu.Lock()
@@ -228,6 +239,28 @@
 	s.ledger.mu.Unlock()
 	s.cloud.workers[w.name] = w
 	s.cloud.order = append(s.cloud.order, w.name)
+	if s.options.strict && i >= s.options.machines {
+		switch rand.IntN(20) {
+		case 0: // never comes up
+			go func() { <-w.done }()
+			w.server = &http.Server{}
+			return w.name, nil
+		default:
+			w.server = &http.Server{}
+			time.AfterFunc(time.Duration(2+rand.IntN(20))*time.Second, func() {
+				w.mu.Lock()
+				select {
+				case <-w.done:
+					w.mu.Unlock()
+					return
+				default:
+				}
+				w.mu.Unlock()
+				w.run(listener)
+			})
+			return w.name, nil
+		}
+	}
 	w.run(listener)
 	return w.name, nil
 }
