--- a/review/_rig2/cases.go
+++ b/review/_rig2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"syscall"
 	"time"
 
@@ -145,6 +146,13 @@
 		started, done := s.ledger.count(sweep.ID)
 		s.record.log("term %d; tasks of j-000001 started %d, done %d; transactions refused as too large: %d; log %s", s.term(), started, done, s.state.CountFaults().TooLarge, s.state.Get("log/head"))
 	}
+	if os.Getenv("RESTART") != "" { // tried by hand: does a restart of all controllers help?
+		for _, n := range s.nodes {
+			s.record.log("%s is killed", n.label)
+			n.signal(syscall.SIGKILL)
+		}
+		time.Sleep(6 * time.Second)
+	}
 	urgent := &spec{
 		ID: "j-000002", Class: "picklist-build", Team: "member-services", Shape: "sweep", Urgency: "production", Pieces: 3,
 		CPUs: 1, RAM: 6.4, Bundle: "tally", ImageGB: 1, Loaners: true, ExpectS: 2, runS: 2,
@@ -170,3 +178,87 @@
 	s.record.log("tasks of j-000002 started %d, done %d of %d; its user is told %q", started, done, urgent.Pieces, a.Status)
 	return started == 0 && after == before, nil
 }
+
+// cancelledSite has the settings of next/gaasiliit-grown, with one machine.
+var cancelledSite = siteOptions{
+	zones:    []string{"tallinn-core", "tartu-reserve", "parnu-edge"},
+	nodes:    5,
+	machine:  machineType{"valve-64g", 64, 8, 384, 0.6},
+	machines: 1,
+	teams: []team{
+		{"dispatch", 800, 2000}, {"shipper-desk", 2000, 6000}, {"capacity", 2000, 7000}, {"forecasting", 1500, 3000}, {"settlement", 1500, 3500},
+	},
+	workers:   workerTimes{5 * time.Second, 24 * time.Second},
+	gangWaitS: 50, gangPeerS: 4, cancelS: 44,
+	state:       "rps = 150.0\nwrite_rps = 60.0\nvalue_kb = 8.0\ntxn_ops = 32",
+	stateLimits: simulator.RequestLimits{ValueBytes: 8 << 10, WritesPerTxn: 32, WritesPerSecond: 60},
+	cloudRPS:    4, listLagS: 5,
+	machineLimits: "cores = 0.3\nmem_mb = 234.0\nsockets = 2000",
+	restart:       6 * time.Second,
+}
+
+// playCancelled: a job's start is recorded, and the machine's next report is due in some seconds. The
+// state service refuses the leading controller alone. The job is cancelled at another controller.
+func playCancelled(s *site, trouble bool) (broken bool, err error) {
+	if err := s.await("a controller leads", 20*time.Second, func() bool { return s.leader() != nil }); err != nil {
+		return false, err
+	}
+	warm := flowScore("j-000001", "dispatch", 1)
+	warm.runS = 1
+	if err := s.submit(warm); err != nil {
+		return false, err
+	}
+	if err := s.await("j-000001 is done, the machine has its image", 40*time.Second, func() bool { _, done := s.ledger.count(warm.ID); return done == 1 }); err != nil {
+		return false, err
+	}
+	time.Sleep(6 * time.Second)
+	for round := 2; round < 5 && !broken && time.Since(s.record.start) < 70*time.Second; round++ {
+		if broken, err = s.cancelRecorded(fmt.Sprintf("j-%06d", round), trouble); err != nil {
+			return false, err
+		}
+	}
+	return broken, nil
+}
+
+// cancelRecorded plays one round; it reports whether the machine was told to run a task of the
+// cancelled job, and did.
+func (s *site) cancelRecorded(id string, trouble bool) (broken bool, err error) {
+	leader, w := s.leader(), s.worker("m-000000")
+	if leader == nil || w == nil {
+		return false, fmt.Errorf("%w: no leader, or no machine", errCantRun)
+	}
+	if err := s.await("the machine's next report is due in 1.2 s to 1.8 s", 40*time.Second, func() bool {
+		in, sending := w.next()
+		return !sending && in > 1200*time.Millisecond && in < 1800*time.Millisecond
+	}); err != nil {
+		return false, err
+	}
+	if err := s.submit(flowScore(id, "dispatch", 1)); err != nil {
+		return false, err
+	}
+	time.Sleep(400 * time.Millisecond) // the leader has recorded the start by then
+	if trouble {
+		leader.state.refuse(true)
+		s.record.log("TROUBLE: the state service refuses %s, which leads, alone", leader.label)
+	}
+	time.Sleep(100 * time.Millisecond)
+	other := s.nodes[0]
+	if other == leader {
+		other = s.nodes[1]
+	}
+	status, a := s.call(other, "POST", "/work/"+id+"/cancel", struct{}{}, 5*time.Second)
+	if status != 200 || a.Status != "aborted" {
+		return false, fmt.Errorf("%w: the cancellation is answered with %d %s", errCantRun, status, a.Status)
+	}
+	s.ledger.toldCancelled(id)
+	s.record.log("%s tells the user that %s is cancelled", other.label, id)
+	time.Sleep(7 * time.Second)
+	started, _ := s.ledger.count(id)
+	s.record.log("tasks of %s started: %d", id, started)
+	if trouble {
+		leader.state.refuse(false)
+		s.record.log("over: the state service serves %s again", leader.label)
+		time.Sleep(4 * time.Second)
+	}
+	return started > 0 && len(s.ledger.startOrders) > 0, nil
+}
--- a/review/_rig2/ledger.go
+++ b/review/_rig2/ledger.go
@@ -56,6 +56,9 @@
 	broken    map[string]int                    // breaches by rule
 	first     map[string]string                 // the first breach of each rule
 	halls     map[string]string                 // by machine
+	// startOrders are the tasks of cancelled jobs that a machine was told to run in answer to a
+	// report that it sent after the job's user had been told.
+	startOrders []string
 }
 
 func newLedger(record *record, gpuMax map[string]float64, cancel time.Duration) *ledger {
@@ -98,6 +101,17 @@
 	}
 }
 
+// ordered records a `run` in the answer to a report that was sent at sentAt.
+func (l *ledger) ordered(machine, piece string, sentAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	job, _, _ := strings.Cut(piece, "/")
+	if told, ok := l.cancelled[job]; ok && sentAt.After(told) {
+		l.startOrders = append(l.startOrders, piece)
+		l.record.log("%s is told to run %s in answer to a report that it sent %.2f s after the user was told", machine, piece, sentAt.Sub(told).Seconds())
+	}
+}
+
 // start records that a task is on a machine from now on.
 func (l *ledger) start(machine, piece string, try uint64, s *spec) {
 	l.mu.Lock()
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -30,6 +30,7 @@
 	play    caseFunc
 }{
 	"quota":      {quotaSite, playQuota},
+	"cancelled":  {cancelledSite, playCancelled},
 	"hunt":       {huntSite, playHunt},
 	"heavy":      {heavy(huntSite), playHeavyHunt},
 	"far":        {far(huntSite), playFarHunt},
--- a/review/_rig2/site.go
+++ b/review/_rig2/site.go
@@ -34,6 +34,7 @@
 
 type siteOptions struct {
 	zones    []string
+	nodes    int // controllers; 0: one in each zone
 	machine  machineType
 	machines int
 	capacity int  // machines in all; 0: no more than at the start
@@ -113,7 +114,7 @@
 		return nil, err
 	}
 	limit := &requestLimit{perSecond: 150, tokens: 150, at: time.Now()}
-	for i := range options.zones {
+	for i := range max(options.nodes, len(options.zones)) {
 		front := &stateFront{service: s.state, limit: limit, strict: options.strict}
 		stateAddr, err := s.serve(front)
 		if err != nil {
@@ -141,7 +142,7 @@
 		}
 		label := fmt.Sprintf("rig-%d", i)
 		s.nodes = append(s.nodes, &node{
-			label: label, site: options.zones[i], listen: listen, mesh: mesh, stateProxy: proxy, state: front, meshProxy: meshProxy, workersProxy: workersProxy,
+			label: label, site: options.zones[i%len(options.zones)], listen: listen, mesh: mesh, stateProxy: proxy, state: front, meshProxy: meshProxy, workersProxy: workersProxy,
 			config: filepath.Join(folder, label+".toml"), log: filepath.Join(folder, label+".log"),
 		})
 	}
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -197,6 +197,13 @@
 	return !w.sending && !w.changed && now.Sub(w.lastReport) > 600*time.Millisecond && w.nextReport.Sub(now) > time.Second
 }
 
+// next returns the time until the next regular report, and whether a report is on its way.
+func (w *worker) next() (in time.Duration, sending bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Until(w.nextReport), w.sending || w.changed
+}
+
 // finish completes the job's tasks that run on the machine: they had as long to run.
 func (w *worker) finish(job string) {
 	w.mu.Lock()
@@ -384,7 +391,7 @@
 	}
 	w.leaseStart = sentAt
 	w.seeToken(*batch.Warrant, now)
-	w.execute(batch.Orders, now)
+	w.execute(batch.Orders, sentAt, now)
 }
 
 func (w *worker) seeToken(token uint64, now time.Time) {
@@ -396,13 +403,15 @@
 	}
 }
 
-func (w *worker) execute(list []order, now time.Time) {
+// execute executes commands; sentAt is when the report was sent that they answer, or zero.
+func (w *worker) execute(list []order, sentAt, now time.Time) {
 	for _, o := range list {
 		key := pieceKey{o.Piece, o.Try}
 		piece := w.pieces[key]
 		w.record.trace("%s executes %s %s try %d", w.name, o.Verb, o.Piece, o.Try)
 		switch o.Verb {
 		case "run":
+			w.ledger.ordered(w.name, o.Piece, sentAt)
 			if piece == nil {
 				w.startPiece(key, now)
 			}
@@ -495,7 +504,7 @@
 	if *batch.Warrant >= w.warrant && *batch.Shift == w.shift {
 		status = http.StatusOK
 		w.seeToken(*batch.Warrant, time.Now())
-		w.execute(batch.Orders, time.Now())
+		w.execute(batch.Orders, time.Time{}, time.Now())
 	}
 	report := w.report()
 	w.mu.Unlock()
